--- /dev/null
+++ b/packages/platform/object_store.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/result.h"
+
+namespace bluebell::platform {
+
+/// One object of the platform's object API.
+struct object {
+  std::string name;
+  revision version;
+  nlohmann::json value;
+};
+
+/// Objects under a prefix, or those that changed since a revision.
+struct object_list {
+  std::vector<object> items;
+  /// Revision of the store that the list reflects; the next watch starts here.
+  revision as_of;
+};
+
+/// Result of a conditional write that lost against another writer.
+struct write_conflict {
+  /// The object as it is now; empty if it does not exist.
+  std::optional<object> current;
+};
+
+/// Failure of a write. `conflict` is set only with `error_code::kConflict`.
+struct write_error {
+  error cause;
+  std::optional<write_conflict> conflict;
+};
+
+using write_result = tl::expected<revision, write_error>;
+
+/// Live or leaving host, as the platform's lagging list shows it.
+struct listed_host {
+  host_id id;
+  bool leaving = false;
+};
+
+/// The platform's object API, which holds everything that must last.
+///
+/// Every call ends in exactly one callback, within the time limit of the
+/// implementation. Errors: `kNotFound`, `kConflict`, `kTooLarge` (value above
+/// 1 MB), `kUnavailable` (the operation certainly did not take place) and
+/// `kOutcomeUnknown` (a write that may have taken effect).
+class object_store {
+ public:
+  /// Writes only if the object does not exist.
+  static constexpr std::uint64_t kAbsent = 0;
+
+  virtual ~object_store() = default;
+
+  virtual void Get(const std::string& name,
+                   std::function<void(result<object>)> done) = 0;
+  /// Writes `value` if the object's version is `expected`; no `expected`
+  /// writes unconditionally. Returns the new version.
+  virtual void Put(const std::string& name, const nlohmann::json& value,
+                   std::optional<revision> expected,
+                   std::function<void(write_result)> done) = 0;
+  virtual void Remove(const std::string& name, revision expected,
+                      std::function<void(write_result)> done) = 0;
+  virtual void List(const std::string& prefix,
+                    std::function<void(result<object_list>)> done) = 0;
+  /// Answers when an object under `prefix` has a version above `after`, or
+  /// with an empty list after `wait`.
+  virtual void Watch(const std::string& prefix, revision after,
+                     std::chrono::milliseconds wait,
+                     std::function<void(result<object_list>)> done) = 0;
+  virtual void ListHosts(
+      std::function<void(result<std::vector<listed_host>>)> done) = 0;
+};
+
+}  // namespace bluebell::platform
