Add the caller listener and the request pipeline

Filters: relay, identify, parse, admit, deduplicate, schedule, dispatch. Each endpoint connection carries one request: a pooled connection may have gone silent, and opening one costs one round trip.

Test: builds with warnings as errors; behaviour is not tested yet.

--- /dev/null
+++ b/packages/gateway/deduplicate_filter.cpp
@@ -0,0 +1,70 @@
+#include "gateway/deduplicate_filter.h"
+
+#include "gateway/await.h"
+
+namespace bluebell::gateway {
+namespace {
+
+idempotency::recorded_answer ToRecord(const http_answer& answer) {
+  return {answer.status, answer.fields.Find("Content-Type"), answer.body,
+          false};
+}
+
+http_answer FromRecord(const idempotency::recorded_answer& record) {
+  http_answer answer;
+  answer.status = record.http_status;
+  answer.fields.Add("Content-Type", record.content_type);
+  answer.fields.Add("Idempotent-Replayed", "true");
+  answer.body = record.body;
+  return answer;
+}
+
+}  // namespace
+
+void deduplicate_filter::Process(exchange& current, next_filter& next,
+                                 boost::asio::yield_context yield) {
+  if (current.repeatable) {
+    next.Process(current, yield);
+    return;
+  }
+  const idempotency::idempotent_request request{
+      current.account->id, current.request.fields.Find("Idempotency-Key"),
+      current.digest};
+  const auto outcome = Await<idempotency::begin_outcome>(
+      context_, yield,
+      [&](auto done) { records_.Begin(request, std::move(done)); });
+  if (const auto* refusal = std::get_if<problem>(&outcome)) {
+    current.Refuse(refusal->code, refusal->detail, refusal->run);
+  } else if (const auto* record =
+                 std::get_if<idempotency::recorded_answer>(&outcome)) {
+    if (record->body_omitted) {
+      current.Refuse(problem_code::kOutcomeUnknown,
+                     "the request ran; its answer was too large to be kept",
+                     executed::kYes);
+      return;
+    }
+    current.whole = FromRecord(*record);
+    current.end = ending::kWhole;
+  } else {
+    Run(current, std::get<idempotency::attempt>(outcome), next, yield);
+  }
+}
+
+void deduplicate_filter::Run(exchange& current,
+                             const idempotency::attempt& attempt,
+                             next_filter& next,
+                             boost::asio::yield_context yield) {
+  current.may_dispatch = [this, attempt] {
+    return records_.MarkDispatched(attempt);
+  };
+  next.Process(current, yield);
+  if (!current.dispatched) {
+    records_.MarkNotRun(attempt);
+  } else if (current.end == ending::kWhole) {
+    records_.Complete(attempt, ToRecord(current.whole));
+  } else {
+    records_.Abandon(attempt);
+  }
+}
+
+}  // namespace bluebell::gateway
--- /dev/null
+++ b/packages/gateway/endpoint_connection.cpp
@@ -0,0 +1,146 @@
+#include "gateway/endpoint_connection.h"
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+#include <utility>
+
+#include "gateway/network.h"
+
+namespace bluebell::gateway {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using failure = boost::system::error_code;
+
+constexpr std::size_t kPartBytes = 16 * 1024;
+constexpr std::uint32_t kHeadBytes = 64 * 1024;
+
+error ToError(const failure& ended) {
+  const error_code code = ended == beast::error::timeout
+                              ? error_code::kTimeout
+                              : error_code::kOutcomeUnknown;
+  return {code, ended.message()};
+}
+
+}  // namespace
+
+struct endpoint_connection::state {
+  explicit state(asio::io_context& context) : stream(context) {
+    parser.header_limit(kHeadBytes);
+    parser.body_limit(boost::none);
+  }
+
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+  http::response_parser<http::buffer_body> parser;
+  std::array<char, kPartBytes> part{};
+};
+
+endpoint_connection::endpoint_connection(std::unique_ptr<state> opened)
+    : state_(std::move(opened)) {}
+
+endpoint_connection::~endpoint_connection() { Close(); }
+
+void endpoint_connection::Close() {
+  failure ignored;
+  state_->stream.socket().close(ignored);
+}
+
+result<std::unique_ptr<endpoint_connection>> endpoint_connection::Connect(
+    asio::io_context& context, const std::string& address,
+    std::chrono::milliseconds timeout, asio::yield_context yield) {
+  const auto target = ParseAddress(address);
+  if (!target) return Fail(error_code::kUnavailable, target.error().detail);
+  auto opened = std::make_unique<state>(context);
+  failure ended;
+  opened->stream.expires_after(timeout);
+  opened->stream.async_connect(*target, yield[ended]);
+  if (ended) {
+    return Fail(error_code::kUnavailable, address + ": " + ended.message());
+  }
+  DisableNagle(opened->stream.socket());
+  return std::unique_ptr<endpoint_connection>(
+      new endpoint_connection(std::move(opened)));
+}
+
+result<void> endpoint_connection::Send(const http_request& request,
+                                       std::chrono::milliseconds timeout,
+                                       asio::yield_context yield) {
+  http::request<http::string_body> message;
+  message.method_string(request.method);
+  message.target(request.query.empty() ? request.path
+                                       : request.path + "?" + request.query);
+  message.version(11);
+  for (const auto& field : request.fields.all()) {
+    message.set(field.name, field.value);
+  }
+  message.keep_alive(false);
+  message.body() = request.body;
+  message.prepare_payload();
+  failure ended;
+  state_->stream.expires_after(timeout);
+  http::async_write(state_->stream, message, yield[ended]);
+  if (ended) return Fail(error_code::kOutcomeUnknown, ended.message());
+  return {};
+}
+
+result<http_answer> endpoint_connection::ReadHead(
+    std::chrono::milliseconds timeout, asio::yield_context yield) {
+  failure ended;
+  state_->stream.expires_after(timeout);
+  http::async_read_header(state_->stream, state_->buffer, state_->parser,
+                          yield[ended]);
+  if (ended) return tl::unexpected(ToError(ended));
+  http_answer head;
+  head.status = state_->parser.get().result_int();
+  for (const auto& field : state_->parser.get()) {
+    head.fields.Add(std::string(field.name_string()),
+                    std::string(field.value()));
+  }
+  return head;
+}
+
+result<std::string> endpoint_connection::ReadPart(
+    std::chrono::milliseconds timeout, asio::yield_context yield) {
+  auto& parser = state_->parser;
+  while (!parser.is_done()) {
+    parser.get().body().data = state_->part.data();
+    parser.get().body().size = state_->part.size();
+    failure ended;
+    state_->stream.expires_after(timeout);
+    http::async_read_some(state_->stream, state_->buffer, parser, yield[ended]);
+    if (ended && ended != http::error::need_buffer) {
+      return tl::unexpected(ToError(ended));
+    }
+    const std::size_t taken = state_->part.size() - parser.get().body().size;
+    if (taken > 0) return std::string(state_->part.data(), taken);
+  }
+  return std::string();
+}
+
+result<std::string> endpoint_connection::ReadRest(
+    std::size_t limit, std::chrono::milliseconds timeout,
+    asio::yield_context yield) {
+  using steady = std::chrono::steady_clock;
+  const auto deadline = steady::now() + timeout;
+  std::string body;
+  while (true) {
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+        deadline - steady::now());
+    if (left.count() <= 0) return Fail(error_code::kTimeout, "body too slow");
+    auto part = ReadPart(left, yield);
+    if (!part) return part;
+    if (part->empty()) return body;
+    body += *part;
+    if (body.size() > limit) {
+      return Fail(error_code::kTooLarge, "the answer is too large");
+    }
+  }
+}
+
+}  // namespace bluebell::gateway
--- /dev/null
+++ b/packages/gateway/http_types.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace bluebell::gateway {
+
+/// One header field.
+struct http_field {
+  std::string name;
+  std::string value;
+};
+
+/// Header fields in order of arrival; names compare without case.
+class http_fields {
+ public:
+  void Add(std::string name, std::string value);
+  /// Value of the first field of that name, or empty.
+  std::string Find(std::string_view name) const;
+  std::size_t Count(std::string_view name) const;
+  const std::vector<http_field>& all() const { return fields_; }
+
+ private:
+  std::vector<http_field> fields_;
+};
+
+/// A request as received, free of the HTTP library's types.
+struct http_request {
+  std::string method;
+  /// Path without the query.
+  std::string path;
+  /// Raw query without '?'.
+  std::string query;
+  http_fields fields;
+  std::string body;
+};
+
+/// Status, header fields and body of an answer.
+struct http_answer {
+  int status = 200;
+  http_fields fields;
+  std::string body;
+};
+
+/// Value of `name` in a raw query, percent-decoded; empty if absent.
+std::string QueryValue(std::string_view query, std::string_view name);
+
+/// Decodes %XX and '+'; malformed sequences stay as they are.
+std::string PercentDecode(std::string_view text);
+
+/// Whether two ASCII texts are equal but for case.
+bool EqualsIgnoringCase(std::string_view a, std::string_view b);
+
+}  // namespace bluebell::gateway
