--- a/packages/gateway/endpoint_connection.cpp
+++ b/packages/gateway/endpoint_connection.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <limits>
 #include <optional>
 #include <utility>
 
@@ -32,7 +33,7 @@
 struct endpoint_connection::state {
   explicit state(asio::io_context& context) : stream(context) {
     parser.header_limit(kHeadBytes);
-    parser.body_limit(boost::none);
+    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
   }
 
   beast::tcp_stream stream;
--- a/packages/gateway/http_server.cpp
+++ b/packages/gateway/http_server.cpp
@@ -192,15 +192,41 @@
 
 using request_parser = http::request_parser<http::string_body>;
 
+// Ends pending reads at a deadline but leaves the socket open, so that the
+// caller can still be told; the timeout of `tcp_stream` closes the socket.
+class read_deadline {
+ public:
+  read_deadline(tcp::socket& socket, std::chrono::milliseconds limit)
+      : timer_(socket.get_executor(), limit) {
+    timer_.async_wait([&socket, expired = expired_](const failure& ended) {
+      if (ended || *expired) return;
+      *expired = true;
+      failure ignored;
+      socket.cancel(ignored);
+    });
+  }
+  // Marks the deadline as over, for a handler that is queued already.
+  ~read_deadline() { *expired_ = true; }
+
+  /// Replaces the error of a read that the deadline ended.
+  failure Translate(const failure& ended) const {
+    const bool timed_out = ended == asio::error::operation_aborted && *expired_;
+    return timed_out ? failure(beast::error::timeout) : ended;
+  }
+
+ private:
+  std::shared_ptr<bool> expired_ = std::make_shared<bool>(false);
+  asio::steady_timer timer_;
+};
+
 // Maps a failed read to the problem that the caller is told; nothing where the
 // connection is closed without an answer.
-std::optional<problem_code> ToProblem(const failure& ended, bool has_bytes) {
+std::optional<problem_code> ToProblem(const failure& ended) {
   if (ended == http::error::header_limit ||
       ended == http::error::buffer_overflow)
     return problem_code::kHeadersTooLarge;
   if (ended == http::error::body_limit) return problem_code::kBodyTooLarge;
-  if (ended == beast::error::timeout && has_bytes)
-    return problem_code::kRequestTimeout;
+  if (ended == beast::error::timeout) return problem_code::kRequestTimeout;
   if (ended == http::error::end_of_stream ||
       ended == http::error::partial_message)
     return std::nullopt;
@@ -267,16 +293,19 @@
       if (ended) return ended;
       buffer_.commit(count);
     }
-    stream_.expires_after(state_->limits.header_time);
-    http::async_read_header(stream_, buffer_, parser, yield[ended]);
-    if (ended) return ended;
+    stream_.expires_never();
+    {
+      read_deadline deadline(stream_.socket(), state_->limits.header_time);
+      http::async_read_header(stream_, buffer_, parser, yield[ended]);
+      if (ended) return deadline.Translate(ended);
+    }
     if (EqualsIgnoringCase(std::string(parser.get()[http::field::expect]),
                            "100-continue")) {
       SendContinue(yield);
     }
-    stream_.expires_after(state_->limits.body_time);
+    read_deadline deadline(stream_.socket(), state_->limits.body_time);
     http::async_read(stream_, buffer_, parser, yield[ended]);
-    return ended;
+    return deadline.Translate(ended);
   }
 
   void SendContinue(asio::yield_context yield) {
@@ -300,7 +329,7 @@
   }
 
   bool RefuseUnreadable(const failure& ended, asio::yield_context yield) {
-    const auto code = ToProblem(ended, buffer_.size() > 0);
+    const auto code = ToProblem(ended);
     if (!code) return false;
     const auto watch = std::make_shared<disconnect_watch>(stream_.socket());
     connection_sink sink(stream_, state_->limits, watch, false);
