--- a/packages/platform/object_store.h
+++ b/packages/platform/object_store.h
@@ -56,6 +56,8 @@
  public:
   /// Writes only if the object does not exist.
   static constexpr std::uint64_t kAbsent = 0;
+  /// Largest value, in bytes of its JSON text.
+  static constexpr std::size_t kMaxValueBytes = 1'000'000;
 
   virtual ~object_store() = default;
 
@@ -66,12 +68,15 @@
   virtual void Put(const std::string& name, const nlohmann::json& value,
                    std::optional<revision> expected,
                    std::function<void(write_result)> done) = 0;
+  /// Removes the object if its version is `expected`; an object that does not
+  /// exist is a conflict without a current object. Returns the revision of the
+  /// removal.
   virtual void Remove(const std::string& name, revision expected,
                       std::function<void(write_result)> done) = 0;
   virtual void List(const std::string& prefix,
                     std::function<void(result<object_list>)> done) = 0;
   /// Answers when an object under `prefix` has a version above `after`, or
-  /// with an empty list after `wait`.
+  /// with an empty list after `wait`. A removal wakes no watch.
   virtual void Watch(const std::string& prefix, revision after,
                      std::chrono::milliseconds wait,
                      std::function<void(result<object_list>)> done) = 0;
