--- a/packages/base/events.cpp
+++ b/packages/base/events.cpp
@@ -26,8 +26,24 @@
       // 300-399: fleet membership and leases
 
       // 400-499: rate limits and budgets
+      {id::kShareChanged, level::kInfo, "share_changed",
+       "The host's fraction of an account's budget changed"},
+      {id::kShareReclaimed, level::kWarning, "share_reclaimed",
+       "The fraction of a host with an expired lease was set free"},
+      {id::kShareLapsed, level::kWarning, "share_lapsed",
+       "The host spends no tokens until its fractions are confirmed again"},
 
       // 500-599: idempotency
+      {id::kRecordTakenOver, level::kInfo, "record_taken_over",
+       "An attempt that was never dispatched was replaced by a repeat"},
+      {id::kAttemptGivenUp, level::kWarning, "attempt_given_up",
+       "The platform did not confirm an attempt in time"},
+      {id::kAnswerNotRecorded, level::kWarning, "answer_not_recorded",
+       "An outcome was dropped because too many wait to be recorded"},
+      {id::kRecordOverwritten, level::kError, "record_overwritten",
+       "The record of a dispatched attempt was replaced or removed"},
+      {id::kRecordInvalid, level::kError, "record_invalid",
+       "An idempotency record cannot be read"},
 
       // 600-699: routing and endpoints
 
--- a/packages/base/events.h
+++ b/packages/base/events.h
@@ -19,8 +19,16 @@
   // 300-399: fleet membership and leases
 
   // 400-499: rate limits and budgets
+  kShareChanged = 400,
+  kShareReclaimed = 401,
+  kShareLapsed = 402,
 
   // 500-599: idempotency
+  kRecordTakenOver = 500,
+  kAttemptGivenUp = 501,
+  kAnswerNotRecorded = 502,
+  kRecordOverwritten = 503,
+  kRecordInvalid = 504,
 
   // 600-699: routing and endpoints
 
