--- a/packages/base/events.cpp
+++ b/packages/base/events.cpp
@@ -22,6 +22,26 @@
        "The settings file has errors"},
 
       // 200-299: platform and configuration
+      {id::kConfigComplete, level::kInfo, "config_complete",
+       "The host has a first complete configuration"},
+      {id::kConfigWatchLost, level::kWarning, "config_watch_lost",
+       "A list or watch of the configuration failed or was not answered in "
+       "time"},
+      {id::kConfigWatchRestored, level::kInfo, "config_watch_restored",
+       "The platform answers lists and watches of the configuration again"},
+      {id::kConfigRowInvalid, level::kWarning, "config_row_invalid",
+       "A stored row is invalid and is not in force"},
+      {id::kConfigFromPeer, level::kInfo, "config_from_peer",
+       "Newer rows were taken from another host"},
+      {id::kConfigEditAccepted, level::kInfo, "config_edit_accepted",
+       "An edit is stored and in force at a majority of members"},
+      {id::kConfigEditUnconfirmed, level::kWarning, "config_edit_unconfirmed",
+       "An edit is stored, but a majority of members did not confirm it in "
+       "time"},
+      {id::kConfigEditRefused, level::kInfo, "config_edit_refused",
+       "An edit was refused or its outcome is unknown"},
+      {id::kOperatorKeyRefused, level::kWarning, "operator_key_refused",
+       "An admin request had no valid operator key"},
 
       // 300-399: fleet membership and leases
 
--- a/packages/base/events.h
+++ b/packages/base/events.h
@@ -15,6 +15,15 @@
   kSettingsInvalid = 104,
 
   // 200-299: platform and configuration
+  kConfigComplete = 250,
+  kConfigWatchLost = 251,
+  kConfigWatchRestored = 252,
+  kConfigRowInvalid = 253,
+  kConfigFromPeer = 254,
+  kConfigEditAccepted = 255,
+  kConfigEditUnconfirmed = 256,
+  kConfigEditRefused = 257,
+  kOperatorKeyRefused = 258,
 
   // 300-399: fleet membership and leases
 
--- a/packages/config/rows.cpp
+++ b/packages/config/rows.cpp
@@ -8,6 +8,8 @@
 #include <limits>
 #include <optional>
 
+#include "config/row_names.h"
+
 namespace bluebell::config {
 namespace {
 
@@ -20,7 +22,6 @@
 constexpr int kMaxPriority = 9;
 constexpr int kMaxCopies = 10'000;
 constexpr int kMaxConcurrency = 1'000'000;
-constexpr std::size_t kDigestLength = 64;
 
 constexpr const char* kIdAllowed =
     "1 to 256 letters, digits and . _ : @ + - /, without empty, '.' or '..' "
@@ -34,40 +35,8 @@
     "a path of up to 256 printable characters that starts with '/' and has no "
     "'?', '#', '//' or '..'";
 
-bool IsNameCharacter(char c) {
-  const bool letter = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
-  const bool digit = c >= '0' && c <= '9';
-  return letter || digit || std::string("._:@+-").find(c) != std::string::npos;
-}
-
 bool IsOptionalName(const std::string& text) {
-  return text.size() <= kMaxTextLength &&
-         std::all_of(text.begin(), text.end(), IsNameCharacter);
-}
-
-bool IsName(const std::string& text) {
-  return !text.empty() && IsOptionalName(text);
-}
-
-// Ids are part of object names and of URL paths, so each part between slashes
-// must stay one path segment.
-bool IsId(const std::string& text) {
-  if (text.size() > kMaxTextLength) return false;
-  std::size_t begin = 0;
-  while (true) {
-    const std::size_t slash = text.find('/', begin);
-    const std::string part = text.substr(begin, slash - begin);
-    if (!IsName(part) || part == "." || part == "..") return false;
-    if (slash == std::string::npos) return true;
-    begin = slash + 1;
-  }
-}
-
-bool IsDigest(const std::string& text) {
-  return text.size() == kDigestLength &&
-         std::all_of(text.begin(), text.end(), [](char c) {
-           return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f');
-         });
+  return text.empty() || IsName(text);
 }
 
 bool IsAddress(const std::string& text) {
@@ -182,7 +151,7 @@
 result<account_row> ParseRow(const json& value) {
   field_reader read(value);
   account_row row;
-  row.id = account_id(read.Text("id", IsId, kIdAllowed));
+  row.id = account_id(read.Text("id", IsRowId, kIdAllowed));
   row.weight = read.Integer("weight", 1, kMaxWeight, row.weight);
   row.rate = token_count(read.Integer("rate", 0, kMaxTokens));
   row.burst = token_count(read.Integer("burst", 0, kMaxTokens));
@@ -195,8 +164,8 @@
 result<key_row> ParseRow(const json& value) {
   field_reader read(value);
   key_row row;
-  row.digest = read.Text("digest", IsDigest, kDigestAllowed);
-  row.account = account_id(read.Text("account", IsId, kIdAllowed));
+  row.digest = read.Text("digest", IsKeyDigest, kDigestAllowed);
+  row.account = account_id(read.Text("account", IsRowId, kIdAllowed));
   row.withdrawn = read.Boolean("withdrawn", false);
   return read.Finish(std::move(row));
 }
@@ -205,7 +174,7 @@
 result<model_row> ParseRow(const json& value) {
   field_reader read(value);
   model_row row;
-  row.id = model_id(read.Text("id", IsId, kIdAllowed));
+  row.id = model_id(read.Text("id", IsRowId, kIdAllowed));
   row.memory = byte_count(read.Integer("memory_bytes", 1, kMaxMemoryBytes));
   row.min_copies = static_cast<int>(
       read.Integer("min_copies", 1, kMaxCopies, row.min_copies));
@@ -216,8 +185,8 @@
 result<adapter_row> ParseRow(const json& value) {
   field_reader read(value);
   adapter_row row;
-  row.id = adapter_id(read.Text("id", IsId, kIdAllowed));
-  row.model = model_id(read.Text("model", IsId, kIdAllowed));
+  row.id = adapter_id(read.Text("id", IsRowId, kIdAllowed));
+  row.model = model_id(read.Text("model", IsRowId, kIdAllowed));
   row.memory = byte_count(read.Integer("memory_bytes", 1, kMaxMemoryBytes));
   return read.Finish(std::move(row));
 }
@@ -226,7 +195,7 @@
 result<endpoint_row> ParseRow(const json& value) {
   field_reader read(value);
   endpoint_row row;
-  row.id = endpoint_id(read.Text("id", IsId, kIdAllowed));
+  row.id = endpoint_id(read.Text("id", IsRowId, kIdAllowed));
   row.address = read.Text("address", IsAddress, "IPv4:port");
   row.zone = zone_id(read.Text("zone", IsName, kNameAllowed));
   row.kind = read.Text("kind", IsKind, "engine, service") == "service"
@@ -250,7 +219,7 @@
 result<route_row> ParseRow(const json& value) {
   field_reader read(value);
   route_row row;
-  row.id = read.Text("id", IsId, kIdAllowed);
+  row.id = read.Text("id", IsRowId, kIdAllowed);
   row.prefix = read.Text("prefix", IsPrefix, kPrefixAllowed);
   row.group = read.Text("group", IsName, kNameAllowed);
   row.open = read.Boolean("open", row.open);
--- a/packages/config/snapshot.cpp
+++ b/packages/config/snapshot.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "config/tables.h"
+
 namespace bluebell::config {
 namespace {
 
@@ -12,12 +14,6 @@
 // below the message limit.
 constexpr std::size_t kMaxRowBytes = 64 * 1024;
 
-bool IsTombstone(const json& value) {
-  if (!value.is_object()) return false;
-  const auto deleted = value.find("deleted");
-  return deleted != value.end() && *deleted == true;
-}
-
 bool IsOversized(const json& value) {
   return value.dump(-1, ' ', false, json::error_handler_t::replace).size() >=
          kMaxRowBytes;
