--- a/packages/base/events.cpp
+++ b/packages/base/events.cpp
@@ -30,6 +30,12 @@
       // 500-599: idempotency
 
       // 600-699: routing and endpoints
+      {id::kEndpointHealthChanged, level::kInfo, "endpoint_health_changed",
+       "An endpoint became usable or unusable for this host"},
+      {id::kEndpointCrashed, level::kWarning, "endpoint_crashed",
+       "An endpoint died or restarted while requests were in flight"},
+      {id::kRequestQuarantined, level::kWarning, "request_quarantined",
+       "A request was refused because endpoints died while running it"},
 
       // 700-799: placement
 
--- a/packages/base/events.h
+++ b/packages/base/events.h
@@ -23,6 +23,9 @@
   // 500-599: idempotency
 
   // 600-699: routing and endpoints
+  kEndpointHealthChanged = 600,
+  kEndpointCrashed = 601,
+  kRequestQuarantined = 602,
 
   // 700-799: placement
 
