--- a/packages/base/events.h
+++ b/packages/base/events.h
@@ -40,6 +40,9 @@
   kRecordInvalid = 504,
 
   // 600-699: routing and endpoints
+  kEndpointHealthChanged = 600,
+  kEndpointCrashed = 601,
+  kRequestQuarantined = 602,
 
   // 700-799: placement
 
