--- /dev/null
+++ b/packages/daemon/host_process.cpp
@@ -0,0 +1,225 @@
+#include "daemon/host_process.h"
+
+#include <spdlog/spdlog.h>
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "admin/admin_service.h"
+#include "base/asio_clock.h"
+#include "base/digest.h"
+#include "base/event_log.h"
+#include "config/config_editor.h"
+#include "config/config_watcher.h"
+#include "config/snapshot.h"
+#include "daemon/endpoint_listing.h"
+#include "daemon/quarantine_exchange.h"
+#include "fleet/fleet.h"
+#include "gateway/admin_listener.h"
+#include "gateway/gateway.h"
+#include "gateway/http_report_source.h"
+#include "idempotency/record_deduplicator.h"
+#include "limits/admission_factory.h"
+#include "peer/websocket_peer_network.h"
+#include "platform/http_object_store.h"
+#include "routing/endpoint_poller.h"
+#include "routing/endpoint_view.h"
+#include "routing/queue_scheduler.h"
+
+namespace bluebell::daemon {
+namespace {
+
+/// Interval at which a draining host looks for open requests.
+constexpr std::chrono::milliseconds kDrainPoll{50};
+/// Time for which an idle connection is kept after the drain time.
+constexpr std::chrono::milliseconds kIdleLinger{1'000};
+
+}  // namespace
+
+/// The parts of a host in the order of their construction. A part may use the
+/// parts above it.
+struct host_process::parts {
+  parts(boost::asio::io_context& io, const host_settings& given)
+      : context(io), settings(given), time(io), events(time, given.id) {}
+
+  result<void> CreateTransports();
+  result<void> CreateFleet();
+  result<void> CreateCores();
+  result<void> CreateListeners();
+  void Start();
+
+  void StartDrain();
+  void WaitForRequests();
+  void FinishDrain();
+  nlohmann::json Status() const;
+
+  boost::asio::io_context& context;
+  host_settings settings;
+  asio_clock time;
+  event_log events;
+  config::snapshot rows;
+  std::unique_ptr<platform::http_object_store> store;
+  std::unique_ptr<peer::websocket_peer_network> peers;
+  std::unique_ptr<config::config_watcher> watcher;
+  std::unique_ptr<fleet::fleet> fleet;
+  std::unique_ptr<config::config_editor> editor;
+  std::unique_ptr<limits::admission> admission;
+  std::unique_ptr<idempotency::record_deduplicator> records;
+  std::unique_ptr<routing::endpoint_view> view;
+  std::unique_ptr<gateway::http_report_source> reports;
+  std::unique_ptr<routing::endpoint_poller> poller;
+  std::unique_ptr<quarantine_exchange> quarantine;
+  std::unique_ptr<routing::queue_scheduler> scheduler;
+  std::unique_ptr<endpoint_listing> listing;
+  gateway::gateway_metrics metrics;
+  std::unique_ptr<gateway::gateway> callers;
+  std::unique_ptr<admin::admin_service> admin;
+  std::unique_ptr<gateway::admin_listener> admin_listener;
+  bool draining = false;
+  timer_handle drain_timer;
+  std::function<void()> on_drained;
+};
+
+result<void> host_process::parts::CreateTransports() {
+  platform::http_store_options options;
+  options.addresses = settings.platform_addresses;
+  options.call_limit = settings.platform_timeout;
+  auto created_store = platform::http_object_store::Create(context, options);
+  if (!created_store) return tl::unexpected(created_store.error());
+  store = std::move(*created_store);
+  auto created_peers = peer::websocket_peer_network::Create(
+      context, time, events, settings.id, settings.peer_listen);
+  if (!created_peers) return tl::unexpected(created_peers.error());
+  peers = std::move(*created_peers);
+  return {};
+}
+
+result<void> host_process::parts::CreateCores() {
+  editor = std::make_unique<config::config_editor>(rows, *store, *peers, *fleet,
+                                                   time, events);
+  auto created_admission =
+      limits::MakeAdmission(settings.budgets, rows, *store, *peers, *fleet,
+                            time, events);
+  if (!created_admission) return tl::unexpected(created_admission.error());
+  admission = std::move(*created_admission);
+
+  auto created_records = idempotency::record_deduplicator::Create(
+      {}, *store, *peers, *fleet, time, events);
+  if (!created_records) return tl::unexpected(created_records.error());
+  records = std::move(*created_records);
+
+  view = std::make_unique<routing::endpoint_view>(time, rows, &events);
+  reports = std::make_unique<gateway::http_report_source>(context);
+  poller = std::make_unique<routing::endpoint_poller>(time, *view, *reports);
+  quarantine = std::make_unique<quarantine_exchange>(*peers, *fleet);
+  routing::scheduler_options options;
+  options.chooser = settings.endpoint_choice;
+  options.queue = settings.queue;
+  options.max_wait = settings.max_queue_wait;
+  options.seed = Hash64(fleet->incarnation().value());
+  auto created_scheduler = routing::queue_scheduler::Create(
+      time, *view, &events, options,
+      [this](const std::string& fingerprint, int crashes) {
+        quarantine->Announce(fingerprint, crashes);
+      });
+  if (!created_scheduler) return tl::unexpected(created_scheduler.error());
+  scheduler = std::move(*created_scheduler);
+  quarantine->Deliver(*scheduler);
+  scheduler->SetPollNow(
+      [this](const endpoint_id& id) { poller->PollNow(id); });
+  listing = std::make_unique<endpoint_listing>(*store, *view, time);
+  return {};
+}
+
+result<void> host_process::parts::CreateListeners() {
+  gateway::gateway_options options;
+  options.listen = settings.listen;
+  auto created_callers = gateway::gateway::Create(
+      {context, time, events, rows, *fleet, *admission, *records, *scheduler,
+       metrics},
+      options);
+  if (!created_callers) return tl::unexpected(created_callers.error());
+  callers = std::move(*created_callers);
+
+  admin = std::make_unique<admin::admin_service>(
+      settings.operator_key_digests, *editor, rows, *fleet, events,
+      admin::daemon_hooks{[this] { StartDrain(); },
+                          [this] { return Status(); }});
+  auto created_admin = gateway::admin_listener::Create(
+      context, settings.admin_listen, *admin);
+  if (!created_admin) return tl::unexpected(created_admin.error());
+  admin_listener = std::move(*created_admin);
+  return {};
+}
+
+void host_process::parts::Start() {
+  watcher->Start();
+  fleet->Start();
+  poller->Start();
+  listing->Start();
+  events.Record(event_id::kHostStarted, {{"listen", settings.listen},
+                                         {"zone", settings.zone.value()}});
+}
+
+nlohmann::json host_process::parts::Status() const {
+  return {{"waiting_requests", scheduler->waiting()},
+          {"requests_at_endpoints", scheduler->in_flight()},
+          {"open_requests", callers->server().open_requests()},
+          {"open_connections", callers->server().open_connections()},
+          {"unstored_records", records->unstored()},
+          {"draining", draining}};
+}
+
+void host_process::parts::StartDrain() {
+  if (draining) return;
+  draining = true;
+  events.Record(event_id::kDrainStarted);
+  fleet->AnnounceLeaving();
+  callers->server().CloseAfterAnswers();
+  drain_timer = time.CallAfter(settings.drain_time, [this] {
+    callers->server().StopAccepting(kIdleLinger);
+    WaitForRequests();
+  });
+}
+
+// A record that is not stored yet would leave its request's outcome unknown.
+void host_process::parts::WaitForRequests() {
+  const bool idle = callers->server().open_connections() == 0 &&
+                    records->unstored() == 0;
+  if (idle) {
+    FinishDrain();
+    return;
+  }
+  drain_timer = time.CallAfter(kDrainPoll, [this] { WaitForRequests(); });
+}
+
+void host_process::parts::FinishDrain() {
+  events.Record(event_id::kDrainFinished);
+  if (on_drained) on_drained();
+}
+
+result<std::unique_ptr<host_process>> host_process::Create(
+    boost::asio::io_context& context, const host_settings& settings) {
+  auto created = std::make_unique<parts>(context, settings);
+  const auto started =
+      created->CreateTransports()
+          .and_then([&] { return created->CreateFleet(); })
+          .and_then([&] { return created->CreateCores(); })
+          .and_then([&] { return created->CreateListeners(); });
+  if (!started) return tl::unexpected(started.error());
+  created->Start();
+  return std::unique_ptr<host_process>(new host_process(std::move(created)));
+}
+
+host_process::host_process(std::unique_ptr<parts> created)
+    : parts_(std::move(created)) {}
+
+host_process::~host_process() = default;
+
+void host_process::Drain() { parts_->StartDrain(); }
+
+void host_process::OnDrained(std::function<void()> callback) {
+  parts_->on_drained = std::move(callback);
+}
+
+}  // namespace bluebell::daemon
--- a/packages/daemon/host_settings.cpp
+++ b/packages/daemon/host_settings.cpp
@@ -8,23 +8,23 @@
 
 constexpr std::size_t kDigestLength = 64;
 
-setting_rule Required(const char* section, const char* key,
-                      setting_type type) {
+setting_rule Required(const char* section, const char* key, setting_type type) {
   return {section, key, type, "", true, 0, 0, {}};
 }
 
 setting_rule Choice(const char* section, const char* key,
                     std::vector<std::string> choices) {
   const std::string first = choices.front();
-  return {section, key, setting_type::kText, first, false, 0, 0,
-          std::move(choices)};
+  return {section, key, setting_type::kText, first, false,
+          0,       0,   std::move(choices)};
 }
 
 setting_rule Duration(const char* section, const char* key,
                       const char* default_value, std::int64_t minimum,
                       std::int64_t maximum) {
-  return {section, key, setting_type::kMilliseconds, default_value, false,
-          minimum, maximum, {}};
+  return {section,       key,   setting_type::kMilliseconds,
+          default_value, false, minimum,
+          maximum,       {}};
 }
 
 bool IsDigest(const std::string& text) {
@@ -89,7 +89,8 @@
   loaded.seeds = read->List("peers", "seeds");
   loaded.operator_key_digests = read->List("admin", "operator_key_digests");
   loaded.log_level = read->Text("log", "level");
-  loaded.endpoint_choice = kChoosers.at(read->Text("policy", "endpoint_choice"));
+  loaded.endpoint_choice =
+      kChoosers.at(read->Text("policy", "endpoint_choice"));
   loaded.queue = read->Text("policy", "queue") == "fair"
                      ? routing::queue_kind::kFair
                      : routing::queue_kind::kFifo;
--- a/packages/daemon/tests/test_processes.cpp
+++ b/packages/daemon/tests/test_processes.cpp
@@ -34,8 +34,7 @@
 // Returns a loopback address whose port was free a moment ago.
 std::string FreeAddress() {
   asio::io_context context;
-  asio::ip::tcp::acceptor probe(context,
-                                {asio::ip::address_v4::loopback(), 0});
+  asio::ip::tcp::acceptor probe(context, {asio::ip::address_v4::loopback(), 0});
   return "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
 }
 
@@ -46,7 +45,8 @@
   while (true) {
     const std::size_t line = encoded.find("\r\n", at);
     if (line == std::string::npos) return body;
-    const std::size_t size = std::stoul(encoded.substr(at, line - at), nullptr, 16);
+    const std::size_t size =
+        std::stoul(encoded.substr(at, line - at), nullptr, 16);
     if (size == 0) {
       complete = true;
       return body;
@@ -96,7 +96,8 @@
     int status = 0;
     if (::waitpid(pid_, &status, WNOHANG) == pid_) {
       ended_ = true;
-      status_ = WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+      status_ =
+          WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
     } else if (steady_clock::now() >= deadline) {
       return -1;
     } else {
@@ -114,12 +115,13 @@
   asio::io_context context;
   asio::ip::tcp::socket socket(context);
   boost::system::error_code failure;
-  socket.connect({asio::ip::make_address(address.substr(0, colon)),
-                  static_cast<std::uint16_t>(
-                      std::stoi(address.substr(colon + 1)))},
-                 failure);
+  socket.connect(
+      {asio::ip::make_address(address.substr(0, colon)),
+       static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))},
+      failure);
   if (failure) return reply;
-  std::string request = method + " " + target + " HTTP/1.1\r\nHost: " + address +
+  std::string request = method + " " + target +
+                        " HTTP/1.1\r\nHost: " + address +
                         "\r\nConnection: close\r\nContent-Type: "
                         "application/json\r\nContent-Length: " +
                         std::to_string(body.size()) + "\r\n";
@@ -236,9 +238,8 @@
   state_->endpoints[id] = std::make_unique<child_process>(
       std::vector<std::string>{Program("standin_service"), "--listen", address},
       state_->Log(id));
-  ASSERT_TRUE(WaitUntil([address] {
-    return Call(address, "GET", "/admin/runs").status == 200;
-  }));
+  ASSERT_TRUE(WaitUntil(
+      [address] { return Call(address, "GET", "/admin/runs").status == 200; }));
 }
 
 void test_site::StartHost(int index) {
@@ -271,9 +272,9 @@
                    std::string* output) {
   const std::string log = state_->Log("ctl");
   std::filesystem::remove(log);
-  std::vector<std::string> all = {
-      Program("bluebellrailctl"), "--admin", admin_address(0),
-      "--operator-key-file", (state_->folder / "operator.key").string()};
+  std::vector<std::string> all = {Program("bluebellrailctl"), "--admin",
+                                  admin_address(0), "--operator-key-file",
+                                  (state_->folder / "operator.key").string()};
   all.insert(all.end(), arguments.begin(), arguments.end());
   child_process run(all, log);
   const int status = run.Wait(std::chrono::seconds(30));
@@ -292,8 +293,9 @@
       {std::string("Authorization: Bearer ") + kOperatorKey, "If-Match: 0"});
   ASSERT_TRUE(reply.status == 200 || reply.status == 201)
       << reply.status << " " << reply.body;
-  state_->newest_revision = std::max(
-      state_->newest_revision, reply.json().value("revision", std::uint64_t{0}));
+  state_->newest_revision =
+      std::max(state_->newest_revision,
+               reply.json().value("revision", std::uint64_t{0}));
 }
 
 void test_site::RegisterEngine(const std::string& id, std::int64_t memory) {
@@ -364,6 +366,9 @@
 std::string test_site::address_of(const std::string& id) const {
   return state_->addresses.at(id);
 }
+std::string test_site::platform_address() const {
+  return state_->platform_address;
+}
 child_process& test_site::host(int index) {
   return *state_->hosts.at(index).process;
 }
--- a/packages/daemon/tests/test_processes.h
+++ b/packages/daemon/tests/test_processes.h
@@ -91,6 +91,7 @@
   std::string host_address(int index) const;
   std::string admin_address(int index) const;
   std::string address_of(const std::string& id) const;
+  std::string platform_address() const;
   child_process& host(int index);
   child_process& endpoint(const std::string& id);
   child_process& platform();
