--- /dev/null
+++ b/packages/config/tests/config_fleet.h
@@ -0,0 +1,163 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/event_log.h"
+#include "base/manual_clock.h"
+#include "config/config_editor.h"
+#include "config/config_watcher.h"
+#include "peer/memory_peer_network.h"
+#include "platform/memory_object_store.h"
+
+namespace bluebell::config {
+
+/// A fleet view that a test sets by hand.
+class fixed_fleet final : public fleet::fleet_view {
+ public:
+  fixed_fleet(host_id self, std::vector<host_id> members)
+      : self_(std::move(self)), members_(std::move(members)) {}
+
+  fleet::host_status status() const override { return status_; }
+  bool HoldsLease() const override { return true; }
+  host_id self() const override { return self_; }
+  incarnation_id incarnation() const override { return incarnation_id("i"); }
+  std::vector<fleet::entry_host> EntryHosts(const zone_id&) const override {
+    return {{self_, "127.0.0.1:80", zone_id("z")}};
+  }
+  std::vector<host_id> LiveHosts() const override { return members_; }
+  std::vector<host_id> Members() const override { return members_; }
+  bool MayReclaim(const host_id&, const incarnation_id&) const override {
+    return false;
+  }
+
+  fleet::host_status status_ = fleet::host_status::kConnected;
+
+ private:
+  host_id self_;
+  std::vector<host_id> members_;
+};
+
+/// One simulated host process with a heartbeat of one second to all members.
+class config_host {
+ public:
+  config_host(const host_id& id, const std::vector<host_id>& members,
+              platform::memory_platform& shared, peer::memory_network& network)
+      : clock(network.ClockOf(id)),
+        fleet(id, members),
+        store(shared),
+        peers(network.Attach(id)),
+        events(clock, id),
+        watcher(in_force, store, *peers, clock, events),
+        editor(in_force, store, *peers, fleet, clock, events) {
+    peers->SetHandler(
+        "ping", [this](const host_id& sender, const nlohmann::json& body,
+                       peer::peer_network::respond answer) {
+          answer(in_force.newest().value());
+          watcher.OnPeerRevision(sender, revision(body.get<std::uint64_t>()));
+        });
+    watcher.Start();
+    Beat();
+  }
+
+  void Beat() {
+    for (const auto& peer : fleet.Members()) {
+      if (peer == fleet.self()) continue;
+      peers->Request(peer, "ping", in_force.newest().value(),
+                     std::chrono::seconds(1),
+                     [this, peer](const result<nlohmann::json>& answer) {
+                       if (!answer) return;
+                       watcher.OnPeerRevision(
+                           peer, revision(answer->get<std::uint64_t>()));
+                     });
+    }
+    next_beat = clock.CallAfter(std::chrono::seconds(1), [this] { Beat(); });
+  }
+
+  bluebell::clock& clock;
+  fixed_fleet fleet;
+  platform::memory_object_store store;
+  std::unique_ptr<peer::peer_network> peers;
+  event_log events;
+  snapshot in_force;
+  config_watcher watcher;
+  config_editor editor;
+  timer_handle next_beat;
+};
+
+/// Hosts h0, h1, ... with one platform on a paused clock.
+class config_fleet {
+ public:
+  explicit config_fleet(int size) {
+    for (int i = 0; i < size; ++i) {
+      members.emplace_back("h" + std::to_string(i));
+    }
+    for (int i = 0; i < size; ++i) hosts.push_back(nullptr);
+  }
+
+  /// Starts or restarts the process of a host.
+  config_host& Start(int index) {
+    hosts[index].reset();
+    hosts[index] = std::make_unique<config_host>(members[index], members,
+                                                 platform, network);
+    return *hosts[index];
+  }
+  void StartAll() {
+    for (std::size_t i = 0; i < hosts.size(); ++i) Start(static_cast<int>(i));
+    clock.Advance(std::chrono::seconds(1));
+  }
+
+  /// Cuts every link between the two groups.
+  void Cut(const std::vector<int>& left, const std::vector<int>& right,
+           bool cut = true) {
+    for (const int a : left) {
+      for (const int b : right) {
+        network.SetCut(members[a], members[b], cut);
+        network.SetCut(members[b], members[a], cut);
+      }
+    }
+  }
+
+  /// Begins an edit of an account's rate; the answer goes to the result.
+  std::shared_ptr<std::optional<edit_result>> SetRate(
+      int host, const std::string& account, int rate, revision expected) {
+    const nlohmann::json row = {{"rate", rate}, {"burst", 10}};
+    return Put(host, "accounts", account, row, expected);
+  }
+  std::shared_ptr<std::optional<edit_result>> Put(int host,
+                                                  const std::string& table,
+                                                  const std::string& id,
+                                                  const nlohmann::json& row,
+                                                  revision expected) {
+    auto answer = std::make_shared<std::optional<edit_result>>();
+    hosts[host]->editor.Put(
+        *FindTable(table), id, row, expected,
+        [answer](edit_result edited) { *answer = std::move(edited); });
+    return answer;
+  }
+  std::shared_ptr<std::optional<edit_result>> Remove(int host,
+                                                     const std::string& account,
+                                                     revision expected) {
+    auto answer = std::make_shared<std::optional<edit_result>>();
+    hosts[host]->editor.Remove(
+        *FindTable("accounts"), account, expected,
+        [answer](edit_result edited) { *answer = std::move(edited); });
+    return answer;
+  }
+
+  /// Rate in force at a host; -1 if the account is not there.
+  std::int64_t Rate(int host, const std::string& account) const {
+    const auto* row = hosts[host]->in_force.FindAccount(account_id(account));
+    return row == nullptr ? -1 : row->rate.value();
+  }
+
+  manual_clock clock;
+  platform::memory_platform platform{clock};
+  peer::memory_network network{clock, 7};
+  std::vector<host_id> members;
+  std::vector<std::unique_ptr<config_host>> hosts;
+};
+
+}  // namespace bluebell::config
