--- a/packages/admin/admin_service.cpp
+++ b/packages/admin/admin_service.cpp
@@ -81,7 +81,7 @@
   return decoded;
 }
 
-// Finds a parameter in a query of the form "a=1&b=2".
+// Finds a parameter in a query of the form "a=1&b=2", without decoding it.
 std::optional<std::string> FindParameter(const std::string& query,
                                          const std::string& name) {
   std::size_t begin = 0;
@@ -89,7 +89,7 @@
     const auto end = std::min(query.find('&', begin), query.size());
     const std::string part = query.substr(begin, end - begin);
     if (part.compare(0, name.size() + 1, name + "=") == 0) {
-      return Decode(part.substr(name.size() + 1));
+      return part.substr(name.size() + 1);
     }
     begin = end + 1;
   }
--- a/packages/config/tables.cpp
+++ b/packages/config/tables.cpp
@@ -100,8 +100,10 @@
           table.fields.begin(), table.fields.end(),
           [&name = name](const field_kind& kind) { return kind.name == name; });
       if (!known) {
+        // The name may be a key that an operator put in the wrong place.
+        const std::string shown = table.name == "keys" ? "a field" : name;
         return Fail(error_code::kInvalidArgument,
-                    name + ": no such field in table " + table.name);
+                    shown + ": no such field in table " + table.name);
       }
     }
   }
--- a/packages/ctl/cli.cpp
+++ b/packages/ctl/cli.cpp
@@ -9,6 +9,7 @@
 #include <fstream>
 #include <functional>
 #include <iterator>
+#include <sstream>
 
 #include "base/digest.h"
 #include "base/settings.h"
@@ -202,8 +203,12 @@
 
   exit_code Export(session& current) {
     if (file_.empty()) return ExportTable(current, table(), out_);
+    // A failed export leaves an existing file as it is.
+    std::ostringstream text;
+    const exit_code code = ExportTable(current, table(), text);
+    if (code != exit_code::kDone) return code;
     std::ofstream file(file_, std::ios::binary);
-    const exit_code code = ExportTable(current, table(), file);
+    file << text.str();
     if (file.flush()) return code;
     fmt::print(err_, "error: cannot write {}\n", file_);
     return exit_code::kFailed;
