--- /dev/null
+++ b/packages/idempotency/tests/simulated_host.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/event_log.h"
+#include "base/manual_clock.h"
+#include "fleet/fleet_view.h"
+#include "peer/memory_peer_network.h"
+#include "platform/memory_object_store.h"
+
+namespace bluebell::testing {
+
+/// A client of the in-memory platform whose answers wait while its host is
+/// paused, as those of a stopped process do.
+class host_object_store final : public platform::object_store {
+ public:
+  host_object_store(platform::memory_platform& shared, clock& host_clock)
+      : inner_(shared), clock_(host_clock) {}
+
+  platform::memory_faults& faults() { return inner_.faults(); }
+
+  void Get(const std::string& name,
+           std::function<void(result<platform::object>)> done) override {
+    inner_.Get(name, OnHost(std::move(done)));
+  }
+  void Put(const std::string& name, const nlohmann::json& value,
+           std::optional<revision> expected,
+           std::function<void(platform::write_result)> done) override {
+    inner_.Put(name, value, expected, OnHost(std::move(done)));
+  }
+  void Remove(const std::string& name, revision expected,
+              std::function<void(platform::write_result)> done) override {
+    inner_.Remove(name, expected, OnHost(std::move(done)));
+  }
+  void List(const std::string& prefix,
+            std::function<void(result<platform::object_list>)> done) override {
+    inner_.List(prefix, OnHost(std::move(done)));
+  }
+  void Watch(const std::string& prefix, revision after,
+             std::chrono::milliseconds wait,
+             std::function<void(result<platform::object_list>)> done) override {
+    inner_.Watch(prefix, after, wait, OnHost(std::move(done)));
+  }
+  void ListHosts(std::function<void(result<std::vector<platform::listed_host>>)>
+                     done) override {
+    inner_.ListHosts(OnHost(std::move(done)));
+  }
+
+ private:
+  template <class Result>
+  std::function<void(Result)> OnHost(std::function<void(Result)> done) {
+    return [this, done = std::move(done)](Result outcome) {
+      const int id = next_++;
+      deliveries_[id] =
+          clock_.CallAfter(clock::duration::zero(), [this, id, done, outcome] {
+            const auto own = deliveries_.extract(id);
+            done(outcome);
+          });
+    };
+  }
+
+  std::map<int, timer_handle> deliveries_;
+  platform::memory_object_store inner_;
+  clock& clock_;
+  int next_ = 0;
+};
+
+/// A fleet view whose answers the test sets.
+class settable_view : public fleet::fleet_view {
+ public:
+  fleet::host_status status() const override { return current; }
+  bool HoldsLease() const override { return lease; }
+  host_id self() const override { return own; }
+  incarnation_id incarnation() const override { return run; }
+  std::vector<fleet::entry_host> EntryHosts(const zone_id&) const override {
+    std::vector<fleet::entry_host> all;
+    for (const auto& id : live) all.push_back({id, "", zone_id()});
+    return all;
+  }
+  std::vector<host_id> LiveHosts() const override { return live; }
+  std::vector<host_id> Members() const override { return members; }
+  bool MayReclaim(const host_id&, const incarnation_id&) const override {
+    return false;
+  }
+
+  fleet::host_status current = fleet::host_status::kConnected;
+  bool lease = true;
+  host_id own;
+  incarnation_id run;
+  std::vector<host_id> live;
+  std::vector<host_id> members;
+};
+
+/// One run of a host process. Destroying it kills the process.
+template <class View>
+struct simulated_process {
+  simulated_process(peer::memory_network& network,
+                    platform::memory_platform& shared, const host_id& id,
+                    const incarnation_id& incarnation)
+      : time(network.ClockOf(id)),
+        events(time, id),
+        peers(network.Attach(id)),
+        store(shared, time) {
+    view.own = id;
+    view.run = incarnation;
+  }
+
+  clock& time;
+  event_log events;
+  std::unique_ptr<peer::peer_network> peers;
+  host_object_store store;
+  View view;
+};
+
+}  // namespace bluebell::testing
