--- /dev/null
+++ b/packages/daemon/demand_exchange.cpp
@@ -0,0 +1,121 @@
+#include "daemon/demand_exchange.h"
+
+#include <nlohmann/json.hpp>
+
+namespace bluebell::daemon {
+namespace {
+
+constexpr char kReport[] = "demand_report";
+constexpr char kLeaseName[] = "controller/lease";
+/// A request for a target that is nowhere resident waits this long before the
+/// controller hears of it.
+constexpr std::chrono::milliseconds kReportInterval{500};
+constexpr std::chrono::seconds kReportTimeout{2};
+/// The controller is looked up once in so many reports: 340 hosts that ask
+/// every 5 s make 68 reads a second of the platform's 2,000.
+constexpr int kReportsPerLookup = 10;
+
+}  // namespace
+
+nlohmann::json ToJson(const std::vector<routing::target_demand>& demand,
+                      const std::vector<routing::waiting_target>& waiting) {
+  nlohmann::json demand_list = nlohmann::json::array();
+  for (const auto& entry : demand) {
+    demand_list.push_back({{"target", entry.target},
+                           {"service", entry.is_service},
+                           {"account", entry.account.value()},
+                           {"weight", entry.weight},
+                           {"priority", entry.priority},
+                           {"requests", entry.requests},
+                           {"tokens", entry.tokens.value()}});
+  }
+  nlohmann::json waiting_list = nlohmann::json::array();
+  for (const auto& entry : waiting) {
+    waiting_list.push_back({{"target", entry.target},
+                            {"service", entry.is_service},
+                            {"waiting", entry.waiting}});
+  }
+  return {{"demand", std::move(demand_list)},
+          {"waiting", std::move(waiting_list)}};
+}
+
+bool FromJson(const nlohmann::json& body,
+              std::vector<routing::target_demand>& demand,
+              std::vector<routing::waiting_target>& waiting) {
+  try {
+    for (const auto& entry : body.at("demand")) {
+      routing::target_demand parsed;
+      parsed.target = entry.at("target");
+      parsed.is_service = entry.at("service");
+      parsed.account = account_id(entry.at("account"));
+      parsed.weight = entry.at("weight");
+      parsed.priority = entry.at("priority");
+      parsed.requests = entry.at("requests");
+      parsed.tokens = token_count(entry.at("tokens").get<std::int64_t>());
+      demand.push_back(std::move(parsed));
+    }
+    for (const auto& entry : body.at("waiting")) {
+      waiting.push_back(
+          {entry.at("target"), entry.at("service"), entry.at("waiting")});
+    }
+    return true;
+  } catch (const nlohmann::json::exception&) {
+    return false;
+  }
+}
+
+demand_exchange::demand_exchange(peer::peer_network& peers,
+                                 platform::object_store& store,
+                                 const fleet::fleet_view& fleet,
+                                 routing::queue_scheduler& scheduler,
+                                 placement::controller& controller, clock& time)
+    : peers_(peers),
+      store_(store),
+      fleet_(fleet),
+      scheduler_(scheduler),
+      controller_(controller),
+      time_(time) {
+  peers_.SetHandler(
+      kReport, [this, alive = std::weak_ptr<char>(alive_)](
+                   const host_id& sender, const nlohmann::json& body,
+                   const peer::peer_network::respond& answer) {
+        std::vector<routing::target_demand> demand;
+        std::vector<routing::waiting_target> waiting;
+        const bool valid = !alive.expired() && FromJson(body, demand, waiting);
+        if (valid) controller_.OnDemand(sender, demand, waiting);
+        answer({{"taken", valid}});
+      });
+}
+
+void demand_exchange::Start() { Tick(); }
+
+void demand_exchange::Tick() {
+  if (ticks_++ % kReportsPerLookup == 0) FindController();
+  Report();
+  next_ = time_.CallAfter(kReportInterval, [this] { Tick(); });
+}
+
+void demand_exchange::FindController() {
+  store_.Get(kLeaseName, [this, alive = std::weak_ptr<char>(alive_)](
+                             const result<platform::object>& found) {
+    if (alive.expired() || !found || !found->value.is_object()) return;
+    controller_host_ = host_id(found->value.value("host", std::string()));
+  });
+}
+
+void demand_exchange::Report() {
+  const auto waiting = scheduler_.WaitingTargets();
+  if (controller_.in_control()) {
+    controller_.OnDemand(fleet_.self(), scheduler_.TakeDemand(), waiting);
+    return;
+  }
+  // Demand stays with the scheduler until a controller is known.
+  if (controller_host_ == host_id() || controller_host_ == fleet_.self()) {
+    return;
+  }
+  peers_.Request(controller_host_, kReport,
+                 ToJson(scheduler_.TakeDemand(), waiting), kReportTimeout,
+                 [](const result<nlohmann::json>&) {});
+}
+
+}  // namespace bluebell::daemon
