--- a/packages/base/events.cpp
+++ b/packages/base/events.cpp
@@ -24,6 +24,20 @@
       // 200-299: platform and configuration
 
       // 300-399: fleet membership and leases
+      {id::kHostStatusChanged, level::kWarning, "host_status_changed",
+       "The host became connected, went into outage or became isolated"},
+      {id::kLeaseGranted, level::kInfo, "lease_granted",
+       "The platform granted the host lease"},
+      {id::kLeaseLapsed, level::kWarning, "lease_lapsed",
+       "The host lease expired or was taken; exclusive rights are lost"},
+      {id::kMembershipChanged, level::kInfo, "membership_changed",
+       "This host added or removed a member"},
+      {id::kHostSuperseded, level::kError, "host_superseded",
+       "Another process writes the host record of this host"},
+      {id::kMemberListAdopted, level::kInfo, "member_list_adopted",
+       "A newer member list is in force at this host"},
+      {id::kObjectInvalid, level::kError, "object_invalid",
+       "A membership object or host record cannot be read"},
 
       // 400-499: rate limits and budgets
 
@@ -40,6 +54,12 @@
        "A caller got the whole answer"},
 
       // 900-999: peer messages
+      {id::kPeerConnected, level::kDebug, "peer_connected",
+       "A connection to another host was opened"},
+      {id::kPeerConnectionLost, level::kInfo, "peer_connection_lost",
+       "An open connection to another host ended"},
+      {id::kPeerFrameRejected, level::kWarning, "peer_frame_rejected",
+       "A message from another host was malformed or too large"},
   };
   return kCatalogue;
 }
--- a/packages/base/events.h
+++ b/packages/base/events.h
@@ -17,6 +17,13 @@
   // 200-299: platform and configuration
 
   // 300-399: fleet membership and leases
+  kHostStatusChanged = 300,
+  kLeaseGranted = 301,
+  kLeaseLapsed = 302,
+  kMembershipChanged = 303,
+  kHostSuperseded = 304,
+  kMemberListAdopted = 305,
+  kObjectInvalid = 306,
 
   // 400-499: rate limits and budgets
 
@@ -31,6 +38,9 @@
   kRequestFinished = 801,
 
   // 900-999: peer messages
+  kPeerConnected = 900,
+  kPeerConnectionLost = 901,
+  kPeerFrameRejected = 902,
 };
 
 enum class event_level { kDebug, kInfo, kWarning, kError };
