--- a/packages/daemon/host_process.cpp
+++ b/packages/daemon/host_process.cpp
@@ -97,9 +97,8 @@
 result<void> host_process::parts::CreateCores() {
   editor = std::make_unique<config::config_editor>(rows, *store, *peers, *fleet,
                                                    time, events);
-  auto created_admission =
-      limits::MakeAdmission(settings.budgets, rows, *store, *peers, *fleet,
-                            time, events);
+  auto created_admission = limits::MakeAdmission(settings.budgets, rows, *store,
+                                                 *peers, *fleet, time, events);
   if (!created_admission) return tl::unexpected(created_admission.error());
   admission = std::move(*created_admission);
 
@@ -125,8 +124,7 @@
   if (!created_scheduler) return tl::unexpected(created_scheduler.error());
   scheduler = std::move(*created_scheduler);
   quarantine->Deliver(*scheduler);
-  scheduler->SetPollNow(
-      [this](const endpoint_id& id) { poller->PollNow(id); });
+  scheduler->SetPollNow([this](const endpoint_id& id) { poller->PollNow(id); });
   listing = std::make_unique<endpoint_listing>(*store, *view, time);
   return {};
 }
@@ -134,10 +132,10 @@
 result<void> host_process::parts::CreateListeners() {
   gateway::gateway_options options;
   options.listen = settings.listen;
-  auto created_callers = gateway::gateway::Create(
-      {context, time, events, rows, *fleet, *admission, *records, *scheduler,
-       metrics},
-      options);
+  auto created_callers =
+      gateway::gateway::Create({context, time, events, rows, *fleet, *admission,
+                                *records, *scheduler, metrics},
+                               options);
   if (!created_callers) return tl::unexpected(created_callers.error());
   callers = std::move(*created_callers);
 
@@ -145,8 +143,8 @@
       settings.operator_key_digests, *editor, rows, *fleet, events,
       admin::daemon_hooks{[this] { StartDrain(); },
                           [this] { return Status(); }});
-  auto created_admin = gateway::admin_listener::Create(
-      context, settings.admin_listen, *admin);
+  auto created_admin =
+      gateway::admin_listener::Create(context, settings.admin_listen, *admin);
   if (!created_admin) return tl::unexpected(created_admin.error());
   admin_listener = std::move(*created_admin);
   return {};
@@ -157,8 +155,8 @@
   fleet->Start();
   poller->Start();
   listing->Start();
-  events.Record(event_id::kHostStarted, {{"listen", settings.listen},
-                                         {"zone", settings.zone.value()}});
+  events.Record(event_id::kHostStarted,
+                {{"listen", settings.listen}, {"zone", settings.zone.value()}});
 }
 
 nlohmann::json host_process::parts::Status() const {
@@ -184,8 +182,8 @@
 
 // A record that is not stored yet would leave its request's outcome unknown.
 void host_process::parts::WaitForRequests() {
-  const bool idle = callers->server().open_connections() == 0 &&
-                    records->unstored() == 0;
+  const bool idle =
+      callers->server().open_connections() == 0 && records->unstored() == 0;
   if (idle) {
     FinishDrain();
     return;
--- a/packages/daemon/quarantine_exchange.h
+++ b/packages/daemon/quarantine_exchange.h
@@ -12,8 +12,7 @@
 class quarantine_exchange {
  public:
   /// The arguments must outlive the exchange.
-  quarantine_exchange(peer::peer_network& peers,
-                      const fleet::fleet_view& fleet)
+  quarantine_exchange(peer::peer_network& peers, const fleet::fleet_view& fleet)
       : peers_(peers), fleet_(fleet) {}
 
   /// Sends a count to every live host; lost notices are not repeated, because
--- a/packages/gateway/admin_listener.cpp
+++ b/packages/gateway/admin_listener.cpp
@@ -58,8 +58,8 @@
 
 void admin_listener::Handle(const http_request& request, answer_sink& answer,
                             boost::asio::yield_context yield) {
-  const auto response = Await<admin::admin_response>(
-      context_, yield, [&](auto done) {
+  const auto response =
+      Await<admin::admin_response>(context_, yield, [&](auto done) {
         service_.Handle(ToAdminRequest(request), std::move(done));
       });
   answer.SendWhole(ToHttpAnswer(response), yield);
--- a/packages/gateway/http_report_source.h
+++ b/packages/gateway/http_report_source.h
@@ -12,9 +12,9 @@
   explicit http_report_source(boost::asio::io_context& context)
       : context_(context) {}
 
-  void Fetch(const config::endpoint_row& endpoint, clock::duration timeout,
-             std::function<void(result<routing::endpoint_report>)> done)
-      override;
+  void Fetch(
+      const config::endpoint_row& endpoint, clock::duration timeout,
+      std::function<void(result<routing::endpoint_report>)> done) override;
 
  private:
   boost::asio::io_context& context_;
--- a/packages/gateway/json_client.cpp
+++ b/packages/gateway/json_client.cpp
@@ -29,8 +29,7 @@
 
 result<json_answer> Exchange(boost::asio::io_context& context,
                              const http_request& request,
-                             const std::string& address,
-                             const time_left& left,
+                             const std::string& address, const time_left& left,
                              boost::asio::yield_context yield) {
   auto opened = endpoint_connection::Connect(context, address, left(), yield);
   if (!opened) {
