Wire the entry host and run the whole path in separate processes

bluebellraild joins the fleet, reads the configuration, places models, admits, deduplicates, schedules and relays; the demo drives it through bluebellrailctl.

--- a/packages/daemon/host_process.cpp
+++ b/packages/daemon/host_process.cpp
@@ -12,15 +12,18 @@
 #include "config/config_editor.h"
 #include "config/config_watcher.h"
 #include "config/snapshot.h"
+#include "daemon/demand_exchange.h"
 #include "daemon/endpoint_listing.h"
 #include "daemon/quarantine_exchange.h"
 #include "fleet/fleet.h"
 #include "gateway/admin_listener.h"
 #include "gateway/gateway.h"
+#include "gateway/http_order_sink.h"
 #include "gateway/http_report_source.h"
 #include "idempotency/record_deduplicator.h"
 #include "limits/admission_factory.h"
 #include "peer/websocket_peer_network.h"
+#include "placement/controller.h"
 #include "platform/http_object_store.h"
 #include "routing/endpoint_poller.h"
 #include "routing/endpoint_view.h"
@@ -44,7 +47,9 @@
 
   result<void> CreateTransports();
   result<void> CreateFleet();
+  void SetPeerAddress(const host_id& peer, const std::string& address);
   result<void> CreateCores();
+  void CreatePlacement();
   result<void> CreateListeners();
   void Start();
 
@@ -71,6 +76,9 @@
   std::unique_ptr<quarantine_exchange> quarantine;
   std::unique_ptr<routing::queue_scheduler> scheduler;
   std::unique_ptr<endpoint_listing> listing;
+  std::unique_ptr<gateway::http_order_sink> orders;
+  std::unique_ptr<placement::controller> controller;
+  std::unique_ptr<demand_exchange> demand;
   gateway::gateway_metrics metrics;
   std::unique_ptr<gateway::gateway> callers;
   std::unique_ptr<admin::admin_service> admin;
@@ -94,6 +102,41 @@
   return {};
 }
 
+result<void> host_process::parts::CreateFleet() {
+  watcher = std::make_unique<config::config_watcher>(rows, *store, *peers, time,
+                                                     events);
+  fleet::fleet_settings given;
+  given.self = settings.id;
+  given.addresses = {settings.listen, settings.peer_listen,
+                     settings.admin_listen, settings.zone};
+  given.seeds = settings.seeds;
+  fleet::fleet_hooks hooks;
+  hooks.config_revision = [this] { return rows.newest(); };
+  hooks.load = [this] {
+    return callers ? static_cast<double>(callers->server().open_requests()) : 0;
+  };
+  hooks.on_higher_revision = [this](const host_id& peer, revision heard) {
+    watcher->OnPeerRevision(peer, heard);
+  };
+  hooks.on_peer_address = [this](const host_id& peer,
+                                 const std::string& address) {
+    SetPeerAddress(peer, address);
+  };
+  auto created = fleet::fleet::Create(given, std::move(hooks), *store, *peers,
+                                      time, events);
+  if (!created) return tl::unexpected(created.error());
+  fleet = std::move(*created);
+  return {};
+}
+
+void host_process::parts::SetPeerAddress(const host_id& peer,
+                                         const std::string& address) {
+  const auto accepted = peers->SetPeerAddress(peer, address);
+  if (!accepted) {
+    spdlog::warn("peer {}: {}", peer.value(), accepted.error().detail);
+  }
+}
+
 result<void> host_process::parts::CreateCores() {
   editor = std::make_unique<config::config_editor>(rows, *store, *peers, *fleet,
                                                    time, events);
@@ -126,9 +169,20 @@
   quarantine->Deliver(*scheduler);
   scheduler->SetPollNow([this](const endpoint_id& id) { poller->PollNow(id); });
   listing = std::make_unique<endpoint_listing>(*store, *view, time);
+  CreatePlacement();
   return {};
 }
 
+void host_process::parts::CreatePlacement() {
+  placement::controller_options options;
+  options.planner = settings.placement;
+  orders = std::make_unique<gateway::http_order_sink>(context);
+  controller = std::make_unique<placement::controller>(
+      time, rows, *view, *fleet, *store, *orders, &events, options);
+  demand = std::make_unique<demand_exchange>(*peers, *store, *fleet, *scheduler,
+                                             *controller, time);
+}
+
 result<void> host_process::parts::CreateListeners() {
   gateway::gateway_options options;
   options.listen = settings.listen;
@@ -152,9 +206,10 @@
 
 void host_process::parts::Start() {
   watcher->Start();
-  fleet->Start();
   poller->Start();
   listing->Start();
+  controller->Start();
+  demand->Start();
   events.Record(event_id::kHostStarted,
                 {{"listen", settings.listen}, {"zone", settings.zone.value()}});
 }
@@ -165,6 +220,8 @@
           {"open_requests", callers->server().open_requests()},
           {"open_connections", callers->server().open_connections()},
           {"unstored_records", records->unstored()},
+          {"controls_placement", controller->in_control()},
+          {"placement_moves", controller->moves()},
           {"draining", draining}};
 }
 
@@ -173,6 +230,7 @@
   draining = true;
   events.Record(event_id::kDrainStarted);
   fleet->AnnounceLeaving();
+  controller->Stop();
   callers->server().CloseAfterAnswers();
   drain_timer = time.CallAfter(settings.drain_time, [this] {
     callers->server().StopAccepting(kIdleLinger);
@@ -193,7 +251,9 @@
 
 void host_process::parts::FinishDrain() {
   events.Record(event_id::kDrainFinished);
-  if (on_drained) on_drained();
+  fleet->Release([this] {
+    if (on_drained) on_drained();
+  });
 }
 
 result<std::unique_ptr<host_process>> host_process::Create(
--- a/packages/daemon/host_settings.cpp
+++ b/packages/daemon/host_settings.cpp
@@ -72,10 +72,10 @@
       {"shares", limits::admission_policy::kShares},
       {"static_split", limits::admission_policy::kStaticSplit},
       {"single_owner", limits::admission_policy::kSingleOwner}};
-  static const std::map<std::string, placement_policy> kPlacements = {
-      {"priority_aware", placement_policy::kPriorityAware},
-      {"recent_demand", placement_policy::kRecentDemand},
-      {"static", placement_policy::kStatic}};
+  static const std::map<std::string, placement::planner_kind> kPlacements = {
+      {"priority_aware", placement::planner_kind::kPriorityAware},
+      {"recent_demand", placement::planner_kind::kRecentDemand},
+      {"static", placement::planner_kind::kStatic}};
 
   host_settings loaded;
   loaded.id = host_id(read->Text("host", "id"));
--- a/packages/daemon/host_settings.h
+++ b/packages/daemon/host_settings.h
@@ -7,13 +7,11 @@
 #include "base/ids.h"
 #include "base/settings.h"
 #include "limits/admission_factory.h"
+#include "placement/controller.h"
 #include "routing/queue_scheduler.h"
 
 namespace bluebell::daemon {
 
-/// How models are placed; the last two are baselines.
-enum class placement_policy { kPriorityAware, kRecentDemand, kStatic };
-
 /// Checked settings of one entry host.
 struct host_settings {
   host_id id;
@@ -32,7 +30,7 @@
   routing::chooser_kind endpoint_choice{};
   routing::queue_kind queue{};
   limits::admission_policy budgets{};
-  placement_policy placement{};
+  placement::planner_kind placement{};
   std::chrono::milliseconds max_queue_wait{};
   std::chrono::milliseconds drain_time{};
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -68,11 +68,11 @@
 await three_hosts
 
 say "operators declare an account, a model, endpoints and a route"
-ctl table set accounts ndiaye weight=1 rate=1000 burst=5000 priority=1
-ctl table set models rosette memory_bytes=1000 min_copies=1
-ctl table set endpoints engine-1 address="$engine" zone=dakar kind=engine memory_bytes=10000 checks_fencing=false max_concurrency=8
-ctl table set endpoints orders-1 address="$service" zone=dakar kind=service group=orders memory_bytes=0 max_concurrency=8
-ctl table set routes orders prefix=/orders group=orders open=false repeatable=false
+ctl table set --create accounts ndiaye weight=1 rate=1000 burst=5000 priority=1
+ctl table set --create models rosette memory_bytes=1000 min_copies=1
+ctl table set --create endpoints engine-1 address="$engine" zone=dakar kind=engine memory_bytes=10000 checks_fencing=false max_concurrency=8
+ctl table set --create endpoints orders-1 address="$service" zone=dakar kind=service group=orders memory_bytes=0 max_concurrency=8
+ctl table set --create routes orders prefix=/orders group=orders open=false repeatable=false
 key="$(ctl --json key grant --account ndiaye | jq -r .key)"
 
 say "a caller asks host-0 for addresses"
@@ -111,5 +111,5 @@
 
 say "status and the last events of all hosts"
 ctl status
-ctl --admin "$(host 0 1),$(host 1 1),$(host 2 1)" timeline | tail -5
+$bin/bluebellrailctl --admin "$(host 0 1),$(host 1 1),$(host 2 1)" --operator-key-file "$work/operator.key" timeline | tail -5
 say "done"
