fleet: add host status, host lease and membership

fleet implements fleet_view: heartbeats, contact tracking, the host record and its lease, the member list and the entry-host directory. Differences from docs/design.md, section 4.1, each with its reason:

- Pings and platform probes go out every T/2; with an interval of T the newest answered ping is older than T for one round trip in every period.
- A lease that lapsed starts a new incarnation, because the holder of a reclaimed right would otherwise use it again after its next renewal.
- A peer vouches for an outage only after 3T of uptime, because its predecessor may have known a contact that the new process does not know.
- Half of the members suffices for a reclaim when the holder's record names the present list, so that the survivor of two hosts can go on.
- The list changes only when every record names the present list or its lease has ended.

--- /dev/null
+++ b/packages/fleet/host_record.cpp
@@ -0,0 +1,89 @@
+#include "fleet/host_record.h"
+
+#include <algorithm>
+
+namespace bluebell::fleet {
+namespace {
+
+using nlohmann::json;
+
+// Runs `read`, which may throw on a missing field or a wrong type.
+template <class T, class Read>
+result<T> Parse(const char* what, Read read) {
+  try {
+    return read();
+  } catch (const json::exception& failure) {
+    return Fail(error_code::kInvalidArgument,
+                std::string(what) + ": " + failure.what());
+  }
+}
+
+}  // namespace
+
+bool member_list::Contains(const host_id& host) const {
+  return std::find(members.begin(), members.end(), host) != members.end();
+}
+
+json ToJson(const host_addresses& addresses) {
+  return {{"caller", addresses.caller},
+          {"peer", addresses.peer},
+          {"admin", addresses.admin},
+          {"zone", addresses.zone.value()}};
+}
+
+json ToJson(const host_record& record) {
+  return {{"incarnation", record.incarnation.value()},
+          {"addresses", ToJson(record.addresses)},
+          {"list_version", record.list_version.value()},
+          {"write", record.write},
+          {"leaving", record.leaving},
+          {"released", record.released}};
+}
+
+json ToJson(const member_list& list) {
+  json members = json::array();
+  for (const auto& host : list.members) members.push_back(host.value());
+  return {{"members", members}, {"previous", list.previous.value()}};
+}
+
+result<host_addresses> ParseAddresses(const json& value) {
+  return Parse<host_addresses>("host addresses", [&value] {
+    host_addresses addresses;
+    value.at("caller").get_to(addresses.caller);
+    value.at("peer").get_to(addresses.peer);
+    value.at("admin").get_to(addresses.admin);
+    addresses.zone = zone_id(value.at("zone").get<std::string>());
+    return addresses;
+  });
+}
+
+result<host_record> ParseRecord(const json& value) {
+  return Parse<host_record>("host record", [&value]() -> result<host_record> {
+    const auto addresses = ParseAddresses(value.at("addresses"));
+    if (!addresses) return tl::unexpected<error>(addresses.error());
+    host_record record;
+    record.incarnation =
+        incarnation_id(value.at("incarnation").get<std::string>());
+    record.addresses = *addresses;
+    record.list_version =
+        revision(value.at("list_version").get<std::uint64_t>());
+    value.at("write").get_to(record.write);
+    value.at("leaving").get_to(record.leaving);
+    value.at("released").get_to(record.released);
+    return record;
+  });
+}
+
+result<member_list> ParseMembers(const json& value, revision version) {
+  return Parse<member_list>("membership", [&value, version] {
+    member_list list;
+    for (const auto& host : value.at("members")) {
+      list.members.emplace_back(host.get<std::string>());
+    }
+    list.version = version;
+    list.previous = revision(value.at("previous").get<std::uint64_t>());
+    return list;
+  });
+}
+
+}  // namespace bluebell::fleet
--- /dev/null
+++ b/packages/fleet/host_record.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/result.h"
+
+namespace bluebell::fleet {
+
+/// Where a host is reached, each `IPv4:port`, and its availability zone.
+struct host_addresses {
+  std::string caller;
+  std::string peer;
+  std::string admin;
+  zone_id zone;
+};
+
+/// The object `hosts/<host>`: the lease of a host, renewed by each write.
+struct host_record {
+  incarnation_id incarnation;
+  host_addresses addresses;
+  /// Version of the member list that the host used when it wrote the record;
+  /// the host never goes back to an older one.
+  revision list_version;
+  /// Number of the write within the process, by which a host recognises its
+  /// own write after an unknown outcome.
+  std::uint64_t write = 0;
+  /// The host is draining.
+  bool leaving = false;
+  /// The host gave up the lease of this incarnation and uses no right of it.
+  bool released = false;
+};
+
+/// The object `membership`: the members whose majorities count.
+struct member_list {
+  std::vector<host_id> members;
+  /// Version of the object; 0 if there is none.
+  revision version;
+  /// Version that this list replaced.
+  revision previous;
+
+  bool Contains(const host_id& host) const;
+};
+
+constexpr char kHostPrefix[] = "hosts/";
+constexpr char kMembershipName[] = "membership";
+
+nlohmann::json ToJson(const host_addresses& addresses);
+nlohmann::json ToJson(const host_record& record);
+nlohmann::json ToJson(const member_list& list);
+
+/// The parsers fail with `kInvalidArgument`.
+result<host_addresses> ParseAddresses(const nlohmann::json& value);
+result<host_record> ParseRecord(const nlohmann::json& value);
+result<member_list> ParseMembers(const nlohmann::json& value, revision version);
+
+}  // namespace bluebell::fleet
--- /dev/null
+++ b/packages/fleet/host_status_machine.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "fleet/fleet_view.h"
+
+namespace bluebell::fleet {
+
+/// State machine of the host status; starts as isolated.
+class host_status_machine {
+ public:
+  /// `on_change` is called after each transition with the new state.
+  explicit host_status_machine(std::function<void(host_status)> on_change);
+  ~host_status_machine();
+
+  /// Takes the transition to the status that an evaluation found, if any.
+  void Apply(host_status found);
+  host_status status() const;
+
+ private:
+  struct machine;
+  std::unique_ptr<machine> machine_;
+};
+
+}  // namespace bluebell::fleet
--- /dev/null
+++ b/packages/fleet/tests/simulation.h
@@ -0,0 +1,255 @@
+#pragma once
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/event_log.h"
+#include "base/manual_clock.h"
+#include "fleet/fleet.h"
+#include "peer/memory_peer_network.h"
+#include "platform/memory_object_store.h"
+
+namespace bluebell::fleet {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Runs the callbacks of a store on the clock of one host, so that a paused
+/// host sees no answer until it resumes.
+class host_store final : public platform::object_store {
+ public:
+  host_store(platform::memory_platform& platform, clock& time)
+      : store_(platform), time_(time) {}
+
+  platform::memory_faults& faults() { return store_.faults(); }
+
+  void Get(const std::string& name,
+           std::function<void(result<platform::object>)> done) override {
+    store_.Get(name, Defer(std::move(done)));
+  }
+  void Put(const std::string& name, const nlohmann::json& value,
+           std::optional<revision> expected,
+           std::function<void(platform::write_result)> done) override {
+    store_.Put(name, value, expected, Defer(std::move(done)));
+  }
+  void Remove(const std::string& name, revision expected,
+              std::function<void(platform::write_result)> done) override {
+    store_.Remove(name, expected, Defer(std::move(done)));
+  }
+  void List(const std::string& prefix,
+            std::function<void(result<platform::object_list>)> done) override {
+    store_.List(prefix, Defer(std::move(done)));
+  }
+  void Watch(const std::string& prefix, revision after, milliseconds wait,
+             std::function<void(result<platform::object_list>)> done) override {
+    store_.Watch(prefix, after, wait, Defer(std::move(done)));
+  }
+  void ListHosts(std::function<void(result<std::vector<platform::listed_host>>)>
+                     done) override {
+    store_.ListHosts(Defer(std::move(done)));
+  }
+
+ private:
+  template <class Outcome>
+  std::function<void(Outcome)> Defer(std::function<void(Outcome)> done) {
+    return [this, done = std::move(done)](Outcome outcome) {
+      const auto id = next_++;
+      waiting_[id] = time_.CallAfter(
+          {}, [this, id, done, outcome = std::move(outcome)]() mutable {
+            const auto handle = std::move(waiting_[id]);
+            waiting_.erase(id);
+            done(std::move(outcome));
+          });
+    };
+  }
+
+  std::map<std::uint64_t, timer_handle> waiting_;
+  std::uint64_t next_ = 0;
+  platform::memory_object_store store_;
+  clock& time_;
+};
+
+/// Competes for one exclusive right, recorded in the object `right`, by the
+/// rules that the packages with rights follow.
+class right_user {
+ public:
+  right_user(fleet& view, platform::object_store& store, bool compares_terms)
+      : view_(view), store_(store), compares_terms_(compares_terms) {}
+
+  /// Whether this host would use the right now.
+  bool Uses() {
+    if (!held_ || !view_.HoldsLease()) return false;
+    return !compares_terms_ || *held_ == view_.incarnation();
+  }
+
+  /// Reads the right and takes it over if that is allowed. The write is sent
+  /// at once, but may take effect much later.
+  void Step() {
+    if (busy_ || !view_.HoldsLease()) return;
+    busy_ = true;
+    store_.Get("right", [this](const result<platform::object>& found) {
+      busy_ = false;
+      if (found || found.error().code == error_code::kNotFound) Decide(found);
+    });
+  }
+
+ private:
+  void Decide(const result<platform::object>& found) {
+    const revision version = found ? found->version : revision(0);
+    if (found) {
+      const host_id holder(found->value.at("host").get<std::string>());
+      const incarnation_id term(
+          found->value.at("incarnation").get<std::string>());
+      if (holder == view_.self() && term == view_.incarnation()) {
+        held_ = term;
+        return;
+      }
+      if (!view_.MayReclaim(holder, term)) return;
+    }
+    if (!view_.HoldsLease()) return;
+    const auto term = view_.incarnation();
+    busy_ = true;
+    store_.Put("right",
+               {{"host", view_.self().value()}, {"incarnation", term.value()}},
+               version, [this, term](const platform::write_result& outcome) {
+                 busy_ = false;
+                 if (outcome) held_ = term;
+               });
+  }
+
+  fleet& view_;
+  platform::object_store& store_;
+  bool compares_terms_;
+  bool busy_ = false;
+  std::optional<incarnation_id> held_;
+};
+
+/// Hosts with the product's own classes on a paused clock.
+class simulation {
+ public:
+  struct host {
+    host_id id;
+    std::unique_ptr<event_log> events;
+    std::unique_ptr<host_store> store;
+    std::unique_ptr<peer::peer_network> network;
+    std::unique_ptr<fleet> view;
+    std::unique_ptr<right_user> user;
+    revision config_revision;
+    std::vector<revision> higher_revisions;
+  };
+
+  explicit simulation(const fleet_timing& timing = {}, std::uint64_t seed = 1)
+      : timing_(timing), network_(clock_, seed), platform_(clock_) {}
+
+  host& Start(const std::string& name, std::vector<std::string> seeds = {}) {
+    auto& made = hosts_[name];
+    made = std::make_unique<host>();
+    made->id = host_id(name);
+    auto& time = network_.ClockOf(made->id);
+    time.Resume();
+    made->events = std::make_unique<event_log>(clock_, made->id);
+    made->store = std::make_unique<host_store>(platform_, time);
+    made->network = network_.Attach(made->id);
+    fleet_settings settings;
+    settings.self = made->id;
+    settings.addresses = {name + ":1", name + ":2", name + ":3",
+                          zone_id("zone " + name)};
+    settings.seeds = std::move(seeds);
+    settings.timing = timing_;
+    fleet_hooks hooks;
+    hooks.config_revision = [h = made.get()] { return h->config_revision; };
+    hooks.on_higher_revision = [h = made.get()](const host_id&, revision seen) {
+      h->higher_revisions.push_back(seen);
+    };
+    made->view = std::move(*fleet::Create(settings, hooks, *made->store,
+                                          *made->network, time, *made->events));
+    made->user = std::make_unique<right_user>(*made->view, *made->store,
+                                              compares_terms_);
+    return *made;
+  }
+
+  /// Ends the process of a host.
+  void Kill(const std::string& name) { hosts_.erase(name); }
+  void Restart(const std::string& name, std::vector<std::string> seeds = {}) {
+    Kill(name);
+    Start(name, std::move(seeds));
+  }
+  bool Runs(const std::string& name) const { return hosts_.count(name) != 0; }
+
+  host& operator[](const std::string& name) { return *hosts_.at(name); }
+  peer::memory_network& network() { return network_; }
+  platform::memory_platform& platform() { return platform_; }
+  manual_clock& time() { return clock_; }
+
+  void SetPaused(const std::string& name, bool paused) {
+    if (paused) {
+      network_.Pause(host_id(name));
+    } else {
+      network_.Resume(host_id(name));
+    }
+  }
+  bool Paused(const std::string& name) {
+    return network_.ClockOf(host_id(name)).paused();
+  }
+  void SetCut(const std::string& from, const std::string& to, bool cut) {
+    network_.SetCut(host_id(from), host_id(to), cut);
+  }
+  void SetPlatformLost(const std::string& name, bool lost) {
+    if (Runs(name)) (*this)[name].store->faults().outage = lost;
+  }
+
+  /// Lets hosts compete for the right from now on.
+  void UseRights() { uses_rights_ = true; }
+  /// Lets right users ignore that a lease term ended.
+  void IgnoreTerms() { compares_terms_ = false; }
+
+  /// Advances in small steps and counts the steps in which more than one host
+  /// uses the right.
+  void Run(clock::duration time, clock::duration step = milliseconds(250)) {
+    const auto end = clock_.now() + time;
+    while (clock_.now() < end) {
+      clock_.Advance(std::min(step, end - clock_.now()));
+      if (!uses_rights_) continue;
+      int users = 0;
+      for (const auto& [name, each] : hosts_) {
+        if (Paused(name)) continue;
+        each->user->Step();
+        if (each->user->Uses()) ++users;
+      }
+      if (users > 1) ++violations_;
+      if (users > 0) ++used_steps_;
+    }
+  }
+
+  int violations() const { return violations_; }
+  int used_steps() const { return used_steps_; }
+
+  std::vector<std::string> Members(const std::string& name) {
+    std::vector<std::string> names;
+    for (const auto& id : (*this)[name].view->Members()) {
+      names.push_back(id.value());
+    }
+    return names;
+  }
+  std::string Holder() const {
+    const auto right = platform_.Peek("right");
+    return right ? right->value.at("host").get<std::string>() : "";
+  }
+
+ private:
+  fleet_timing timing_;
+  manual_clock clock_;
+  peer::memory_network network_;
+  platform::memory_platform platform_;
+  std::map<std::string, std::unique_ptr<host>> hosts_;
+  bool uses_rights_ = false;
+  bool compares_terms_ = true;
+  int violations_ = 0;
+  int used_steps_ = 0;
+};
+
+}  // namespace bluebell::fleet
