Test lost and delayed writes of the editor more closely

Three mechanisms could be left out unseen: the repeated write while the first one is still under way, the comparison of writer ids, and the unknown outcome of an edit that the platform never answers. Each has a test now.

--- a/packages/config/tests/config_editor_test.cpp
+++ b/packages/config/tests/config_editor_test.cpp
@@ -83,6 +83,55 @@
   }
 }
 
+// Guards against a second row version, or a conflict with oneself, when the
+// first write is still under way at the time of the read-back.
+TEST(config_editor, RepeatsAWriteThatMayStillArrive) {
+  config_fleet fleet(3);
+  fleet.StartAll();
+  auto& faults = fleet.hosts[0]->store.faults();
+  faults.delay = seconds(3);
+  const auto answer = fleet.SetRate(0, "a", 1, revision());
+  fleet.clock.Advance(seconds(1));
+  faults.delay = seconds(0);
+  fleet.clock.Advance(seconds(10));
+  ASSERT_EQ(CodeOf(**answer), "confirmed");
+  EXPECT_EQ(fleet.platform.Peek("config/accounts/a")->version,
+            (*answer)->value().row.version);
+}
+
+// Guards against a conflict with one's own row after a lost answer, if another
+// tool added a field to it meanwhile: the writer id tells whose edit it is.
+TEST(config_editor, KnowsItsOwnRowByTheWriterId) {
+  config_fleet fleet(3);
+  fleet.StartAll();
+  fleet.hosts[0]->store.faults().lose_answers = 1;
+  const auto answer = fleet.SetRate(0, "a", 1, revision());
+  fleet.clock.Advance(std::chrono::microseconds(1500));
+  json value = fleet.platform.Peek("config/accounts/a")->value;
+  value["note"] = "x";
+  fleet.platform.Seed("config/accounts/a", value);
+  fleet.clock.Advance(seconds(1));
+  EXPECT_EQ(CodeOf(**answer), "confirmed");
+}
+
+// Guards against an edit that waits forever, or claims "not executed", when
+// the platform never answers.
+TEST(config_editor, EndsWithoutAnAnswerOfThePlatform) {
+  config_fleet fleet(1);
+  fleet.StartAll();
+  auto& host = *fleet.hosts[0];
+  mute_store store;
+  config_editor editor(host.in_force, store, *host.peers, host.fleet,
+                       host.clock, host.events);
+  std::optional<edit_result> answer;
+  editor.Put(*FindTable("accounts"), "a", {{"rate", 1}, {"burst", 1}},
+             revision(), [&](edit_result edited) { answer = edited; });
+  fleet.clock.Advance(kAnswerLimit);
+  ASSERT_TRUE(answer && !*answer);
+  EXPECT_EQ(CodeOf(*answer), "outcome_unknown");
+  EXPECT_EQ(answer->error().what.run, executed::kUnknown);
+}
+
 // Guards against a lost update: of several operators who edit the revision
 // they read, one is accepted and the others see its row.
 TEST(config_editor, OneOfSeveralOperatorsWinsARow) {
--- a/packages/config/tests/config_fleet.h
+++ b/packages/config/tests/config_fleet.h
@@ -40,6 +40,30 @@
   std::vector<host_id> members_;
 };
 
+/// A platform whose calls are never answered, against the contract.
+class mute_store final : public platform::object_store {
+ public:
+  using list_callback = std::function<void(result<platform::object_list>)>;
+  void Get(const std::string&,
+           std::function<void(result<platform::object>)>) override {}
+  void Put(const std::string&, const nlohmann::json&, std::optional<revision>,
+           std::function<void(platform::write_result)>) override {}
+  void Remove(const std::string&, revision,
+              std::function<void(platform::write_result)>) override {}
+  void List(const std::string&, list_callback done) override {
+    calls.push_back(std::move(done));
+  }
+  void Watch(const std::string&, revision, std::chrono::milliseconds,
+             list_callback done) override {
+    calls.push_back(std::move(done));
+  }
+  void ListHosts(
+      std::function<void(result<std::vector<platform::listed_host>>)>)
+      override {}
+
+  std::vector<list_callback> calls;
+};
+
 /// One simulated host process with a heartbeat of one second to all members.
 class config_host {
  public:
--- a/packages/config/tests/config_watcher_test.cpp
+++ b/packages/config/tests/config_watcher_test.cpp
@@ -85,30 +85,6 @@
   EXPECT_EQ(fleet.Rate(0, "a"), 2);
 }
 
-/// A platform whose calls are never answered, against the contract.
-class mute_store final : public platform::object_store {
- public:
-  using list_callback = std::function<void(result<platform::object_list>)>;
-  void Get(const std::string&,
-           std::function<void(result<platform::object>)>) override {}
-  void Put(const std::string&, const json&, std::optional<revision>,
-           std::function<void(platform::write_result)>) override {}
-  void Remove(const std::string&, revision,
-              std::function<void(platform::write_result)>) override {}
-  void List(const std::string&, list_callback done) override {
-    calls.push_back(std::move(done));
-  }
-  void Watch(const std::string&, revision, milliseconds,
-             list_callback done) override {
-    calls.push_back(std::move(done));
-  }
-  void ListHosts(
-      std::function<void(result<std::vector<platform::listed_host>>)>)
-      override {}
-
-  std::vector<list_callback> calls;
-};
-
 // Guards against a wait for a call that the transport lost, and against a late
 // answer that starts a second watch loop.
 TEST(config_watcher, BoundsCallsThatAreNeverAnswered) {
