Add the HTTP object store and the contract tests

http_object_store speaks the platform's object API over Boost.Beast. Every write opens a fresh connection, since a kept one may be silent; reads reuse a connection for at most half the call limit and are then repeated on a fresh one. A write is told as unavailable only if none of it was sent; server errors and cut answers leave its outcome unknown. A dead address costs an equal share of the call limit, then the next one is tried.

The in-memory store takes the call limit also as the margin of watches.

--- /dev/null
+++ b/packages/platform/http_object_store.cpp
@@ -0,0 +1,532 @@
+#include "platform/http_object_store.h"
+
+#include <algorithm>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <cctype>
+#include <charconv>
+#include <deque>
+#include <set>
+#include <utility>
+
+namespace bluebell::platform {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+using nlohmann::json;
+using steady = std::chrono::steady_clock;
+using failure_code = bluebell::error_code;
+
+// Largest answer; a list of all configuration rows stays below it.
+constexpr std::uint64_t kMaxAnswerBytes = 64'000'000;
+// Connections kept for reads.
+constexpr std::size_t kMaxIdle = 4;
+
+// Why a call got no answer.
+struct call_failure {
+  bool sent = false;
+  std::string detail;
+};
+
+struct answer {
+  unsigned status = 0;
+  json body;
+};
+
+using call_outcome = tl::expected<answer, call_failure>;
+
+result<tcp::endpoint> ParseAddress(const std::string& text) {
+  const auto colon = text.rfind(':');
+  error_code failure;
+  unsigned short port = 0;
+  if (colon != std::string::npos) {
+    const auto ip = asio::ip::make_address_v4(text.substr(0, colon), failure);
+    const char* end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
+    if (!failure && parsed.ptr == end && port != 0) {
+      return tcp::endpoint(ip, port);
+    }
+  }
+  return Fail(failure_code::kInvalidArgument, "not IPv4:port: " + text);
+}
+
+// Percent-encodes all but unreserved characters and "/".
+std::string Encode(const std::string& text) {
+  static const char* const kDigits = "0123456789ABCDEF";
+  std::string encoded;
+  for (const char c : text) {
+    const auto byte = static_cast<unsigned char>(c);
+    if (std::isalnum(byte) || std::string("-._~/").find(c) != text.npos) {
+      encoded += c;
+    } else {
+      encoded += {'%', kDigits[byte >> 4], kDigits[byte & 15]};
+    }
+  }
+  return encoded;
+}
+
+std::string ObjectTarget(const std::string& name,
+                         std::optional<revision> expected) {
+  std::string target = "/v1/objects/" + Encode(name);
+  if (expected) target += "?if_version=" + std::to_string(expected->value());
+  return target;
+}
+
+// The readers below throw `json::exception` if a field is missing or wrong.
+object ReadObject(const json& body) {
+  return {body.at("name").get<std::string>(),
+          revision(body.at("version").get<std::uint64_t>()), body.at("value")};
+}
+
+object_list ReadList(const json& body) {
+  object_list list;
+  for (const auto& item : body.at("items")) {
+    list.items.push_back(ReadObject(item));
+  }
+  list.as_of = revision(body.at("revision").get<std::uint64_t>());
+  return list;
+}
+
+std::vector<listed_host> ReadHosts(const json& body) {
+  std::vector<listed_host> hosts;
+  for (const auto& item : body.at("hosts")) {
+    hosts.push_back({host_id(item.at("id").get<std::string>()),
+                     item.at("state").get<std::string>() == "leaving"});
+  }
+  return hosts;
+}
+
+// The result of a read: its answer as `read` takes it from the body.
+template <class T, class Reader>
+result<T> ReadResult(const call_outcome& outcome, Reader read) {
+  if (!outcome) return Fail(failure_code::kUnavailable, outcome.error().detail);
+  if (outcome->status == 404) return Fail(failure_code::kNotFound, "not found");
+  if (outcome->status != 200) {
+    return Fail(failure_code::kUnavailable,
+                "status " + std::to_string(outcome->status));
+  }
+  try {
+    return read(outcome->body);
+  } catch (const json::exception& invalid) {
+    return Fail(failure_code::kUnavailable, invalid.what());
+  }
+}
+
+tl::unexpected<write_error> FailWrite(
+    failure_code code, std::string detail,
+    std::optional<write_conflict> conflict = std::nullopt) {
+  return tl::unexpected<write_error>(
+      write_error{error{code, std::move(detail)}, std::move(conflict)});
+}
+
+// The result of a write. An answer that does not clearly say whether the write
+// took effect, such as a server error, leaves the outcome unknown.
+write_result WriteResult(const call_outcome& outcome) {
+  if (!outcome) {
+    const auto& [sent, detail] = outcome.error();
+    return FailWrite(
+        sent ? failure_code::kOutcomeUnknown : failure_code::kUnavailable,
+        detail);
+  }
+  try {
+    switch (outcome->status) {
+      case 200:
+        return revision(outcome->body.at("version").get<std::uint64_t>());
+      case 400:
+        return FailWrite(failure_code::kInvalidArgument, "request refused");
+      case 404:
+        return FailWrite(failure_code::kConflict, "no such object",
+                         write_conflict{});
+      case 409: {
+        write_conflict conflict;
+        if (!outcome->body.is_null()) {
+          conflict.current = ReadObject(outcome->body);
+        }
+        return FailWrite(failure_code::kConflict, "version differs", conflict);
+      }
+      case 413:
+        return FailWrite(failure_code::kTooLarge, "value above 1 MB");
+      default:
+        return FailWrite(failure_code::kOutcomeUnknown,
+                         "status " + std::to_string(outcome->status));
+    }
+  } catch (const json::exception& invalid) {
+    return FailWrite(failure_code::kOutcomeUnknown, invalid.what());
+  }
+}
+
+// How a call may use connections.
+enum class call_kind { kRead, kWatch, kWrite };
+
+struct call_request {
+  call_kind kind = call_kind::kRead;
+  http::verb method = http::verb::get;
+  std::string target;
+  std::string body;
+  std::chrono::milliseconds limit{0};
+};
+
+struct idle_connection {
+  std::unique_ptr<beast::tcp_stream> stream;
+  steady::time_point since;
+};
+
+class call;
+
+}  // namespace
+
+// Connections and open calls of one store.
+struct http_object_store::client
+    : std::enable_shared_from_this<http_object_store::client> {
+  client(asio::io_context& io, http_store_options settings)
+      : context(io), options(std::move(settings)), purge(io) {}
+
+  void Send(call_request request, std::function<void(call_outcome)> done);
+  std::unique_ptr<beast::tcp_stream> TakeIdle();
+  void KeepIdle(std::unique_ptr<beast::tcp_stream> stream);
+  void PlanPurge();
+
+  asio::io_context& context;
+  http_store_options options;
+  std::vector<tcp::endpoint> endpoints;
+  // Index of the endpoint that calls try first.
+  std::size_t preferred = 0;
+  std::deque<idle_connection> idle;
+  asio::steady_timer purge;
+  std::set<std::shared_ptr<call>> calls;
+};
+
+namespace {
+
+using client_ptr = std::shared_ptr<http_object_store::client>;
+
+// One call with its attempts on one or more connections.
+class call : public std::enable_shared_from_this<call> {
+ public:
+  call(const client_ptr& owner, call_request request,
+       std::function<void(call_outcome)> done)
+      : client_(owner),
+        request_(std::move(request)),
+        done_(std::move(done)),
+        deadline_(steady::now() + request_.limit) {}
+
+  void Start();
+  // Ends the call without its callback.
+  void Abandon();
+
+ private:
+  void Connect();
+  void Transmit();
+  void ReadAnswer();
+  void OnAnswer();
+  void OnConnectFailure(const error_code& failure);
+  void OnExchangeFailure(const error_code& failure);
+  void Finish(call_outcome outcome);
+  // Limits the next step to `limit` from now, within the call's deadline.
+  void LimitStep(std::chrono::milliseconds limit);
+
+  std::weak_ptr<http_object_store::client> client_;
+  call_request request_;
+  std::function<void(call_outcome)> done_;
+  steady::time_point deadline_;
+  std::unique_ptr<beast::tcp_stream> stream_;
+  http::request<http::string_body> message_;
+  beast::flat_buffer buffer_;
+  std::optional<http::response_parser<http::string_body>> parser_;
+  // Endpoint tried first, number of those that failed, and the current one.
+  std::size_t first_ = 0;
+  std::size_t tried_ = 0;
+  std::size_t endpoint_ = 0;
+  bool kept_ = false;
+  bool sent_ = false;
+};
+
+void call::Start() {
+  const auto owner = client_.lock();
+  message_.method(request_.method);
+  message_.target(request_.target);
+  message_.set(http::field::host, "platform");
+  if (request_.kind == call_kind::kWrite) {
+    message_.keep_alive(false);
+    message_.set(http::field::content_type, "application/json");
+  }
+  message_.body() = std::move(request_.body);
+  message_.prepare_payload();
+  if (request_.kind == call_kind::kRead) stream_ = owner->TakeIdle();
+  if (!stream_) return Connect();
+  kept_ = true;
+  LimitStep(request_.limit / 2);
+  Transmit();
+}
+
+void call::LimitStep(std::chrono::milliseconds limit) {
+  stream_->expires_at(std::min(deadline_, steady::now() + limit));
+}
+
+// Connects to the next endpoint. Each one gets an equal share of the call
+// limit, so that one that does not answer leaves time for the others.
+void call::Connect() {
+  const auto owner = client_.lock();
+  if (!owner) return;
+  kept_ = false;
+  const auto count = owner->endpoints.size();
+  if (tried_ == 0) first_ = owner->preferred;
+  endpoint_ = (first_ + tried_) % count;
+  stream_ = std::make_unique<beast::tcp_stream>(owner->context);
+  LimitStep(owner->options.call_limit / static_cast<int>(count));
+  stream_->async_connect(
+      owner->endpoints[endpoint_],
+      [self = shared_from_this()](const error_code& failure) {
+        const auto client = self->client_.lock();
+        if (!client) return;
+        if (failure) return self->OnConnectFailure(failure);
+        client->preferred = self->endpoint_;
+        error_code ignored;
+        self->stream_->socket().set_option(tcp::no_delay(true), ignored);
+        self->stream_->expires_at(self->deadline_);
+        self->Transmit();
+      });
+}
+
+void call::OnConnectFailure(const error_code& failure) {
+  const auto owner = client_.lock();
+  if (!owner) return;
+  ++tried_;
+  if (tried_ < owner->endpoints.size() && steady::now() < deadline_) {
+    return Connect();
+  }
+  Finish(tl::unexpected<call_failure>(
+      call_failure{sent_, "connect: " + failure.message()}));
+}
+
+void call::Transmit() {
+  sent_ = true;
+  http::async_write(
+      *stream_, message_,
+      [self = shared_from_this()](const error_code& failure, std::size_t) {
+        if (failure) return self->OnExchangeFailure(failure);
+        self->ReadAnswer();
+      });
+}
+
+void call::ReadAnswer() {
+  parser_.emplace();
+  parser_->body_limit(kMaxAnswerBytes);
+  http::async_read(
+      *stream_, buffer_, *parser_,
+      [self = shared_from_this()](const error_code& failure, std::size_t) {
+        if (failure) return self->OnExchangeFailure(failure);
+        self->OnAnswer();
+      });
+}
+
+// A kept connection may have been closed or gone silent, so a read is repeated
+// on a fresh one. Any other call ends here; the next one starts with the next
+// endpoint.
+void call::OnExchangeFailure(const error_code& failure) {
+  const auto owner = client_.lock();
+  if (!owner) return;
+  buffer_.clear();
+  if (kept_ && steady::now() < deadline_) return Connect();
+  if (owner->preferred == endpoint_) {
+    owner->preferred = (endpoint_ + 1) % owner->endpoints.size();
+  }
+  Finish(tl::unexpected<call_failure>(
+      call_failure{sent_, "exchange: " + failure.message()}));
+}
+
+void call::OnAnswer() {
+  auto message = parser_->release();
+  answer received;
+  received.status = message.result_int();
+  received.body = json::parse(message.body(), nullptr, false);
+  // Bytes after the answer would be taken for the answer to the next call.
+  const bool reusable = message.keep_alive() && buffer_.size() == 0;
+  const auto owner = client_.lock();
+  if (owner && reusable && request_.kind != call_kind::kWrite) {
+    owner->KeepIdle(std::move(stream_));
+  }
+  Finish(std::move(received));
+}
+
+void call::Finish(call_outcome outcome) {
+  const auto owner = client_.lock();
+  if (!owner || !done_) return;
+  stream_.reset();
+  owner->calls.erase(shared_from_this());
+  const auto done = std::exchange(done_, nullptr);
+  done(std::move(outcome));
+}
+
+void call::Abandon() {
+  done_ = nullptr;
+  if (stream_) stream_->close();
+}
+
+}  // namespace
+
+void http_object_store::client::Send(call_request request,
+                                     std::function<void(call_outcome)> done) {
+  const auto started = std::make_shared<call>(
+      shared_from_this(), std::move(request), std::move(done));
+  calls.insert(started);
+  started->Start();
+}
+
+// Returns a kept connection that is neither too old nor holds unread bytes,
+// which would be taken for the answer to the next call.
+std::unique_ptr<beast::tcp_stream> http_object_store::client::TakeIdle() {
+  while (!idle.empty()) {
+    idle_connection last = std::move(idle.back());
+    idle.pop_back();
+    error_code failure;
+    const bool fresh = steady::now() - last.since < options.idle_limit;
+    if (fresh && last.stream->socket().available(failure) == 0 && !failure) {
+      return std::move(last.stream);
+    }
+  }
+  return nullptr;
+}
+
+void http_object_store::client::KeepIdle(
+    std::unique_ptr<beast::tcp_stream> stream) {
+  stream->expires_never();
+  idle.push_back({std::move(stream), steady::now()});
+  if (idle.size() > kMaxIdle) idle.pop_front();
+  if (idle.size() == 1) PlanPurge();
+}
+
+// Closes kept connections once their idle time has passed.
+void http_object_store::client::PlanPurge() {
+  purge.expires_at(idle.front().since + options.idle_limit);
+  purge.async_wait([weak = weak_from_this()](const error_code& failure) {
+    const auto self = weak.lock();
+    if (failure || !self) return;
+    const auto oldest = steady::now() - self->options.idle_limit;
+    while (!self->idle.empty() && self->idle.front().since <= oldest) {
+      self->idle.pop_front();
+    }
+    if (!self->idle.empty()) self->PlanPurge();
+  });
+}
+
+result<std::unique_ptr<http_object_store>> http_object_store::Create(
+    asio::io_context& context, http_store_options options) {
+  auto state = std::make_shared<client>(context, std::move(options));
+  for (const auto& address : state->options.addresses) {
+    auto endpoint = ParseAddress(address);
+    if (!endpoint) return tl::unexpected<error>(endpoint.error());
+    state->endpoints.push_back(*endpoint);
+  }
+  if (state->endpoints.empty()) {
+    return Fail(failure_code::kInvalidArgument, "no platform address");
+  }
+  return std::unique_ptr<http_object_store>(
+      new http_object_store(std::move(state)));
+}
+
+http_object_store::http_object_store(std::shared_ptr<client> state)
+    : client_(std::move(state)) {}
+
+http_object_store::~http_object_store() {
+  for (const auto& open : client_->calls) open->Abandon();
+  client_->calls.clear();
+}
+
+void http_object_store::Get(const std::string& name,
+                            std::function<void(result<object>)> done) {
+  call_request request;
+  request.target = ObjectTarget(name, std::nullopt);
+  request.limit = client_->options.call_limit;
+  client_->Send(std::move(request), [name, done = std::move(done)](
+                                        const call_outcome& outcome) {
+    auto found = ReadResult<object>(outcome, ReadObject);
+    if (found && found->name != name) {
+      return done(Fail(failure_code::kUnavailable, "answer to another call"));
+    }
+    done(std::move(found));
+  });
+}
+
+void http_object_store::Put(const std::string& name, const json& value,
+                            std::optional<revision> expected,
+                            std::function<void(write_result)> done) {
+  call_request request;
+  request.kind = call_kind::kWrite;
+  request.method = http::verb::put;
+  request.target = ObjectTarget(name, expected);
+  request.body = value.dump();
+  request.limit = client_->options.call_limit;
+  if (request.body.size() > kMaxValueBytes) {
+    return asio::post(client_->context, [weak = std::weak_ptr<client>(client_),
+                                         done = std::move(done)] {
+      if (weak.expired()) return;
+      done(FailWrite(failure_code::kTooLarge, "value above 1 MB"));
+    });
+  }
+  client_->Send(std::move(request),
+                [done = std::move(done)](const call_outcome& outcome) {
+                  done(WriteResult(outcome));
+                });
+}
+
+void http_object_store::Remove(const std::string& name, revision expected,
+                               std::function<void(write_result)> done) {
+  call_request request;
+  request.kind = call_kind::kWrite;
+  request.method = http::verb::delete_;
+  request.target = ObjectTarget(name, expected);
+  request.limit = client_->options.call_limit;
+  client_->Send(std::move(request),
+                [done = std::move(done)](const call_outcome& outcome) {
+                  done(WriteResult(outcome));
+                });
+}
+
+void http_object_store::List(const std::string& prefix,
+                             std::function<void(result<object_list>)> done) {
+  call_request request;
+  request.target = "/v1/list?prefix=" + Encode(prefix);
+  request.limit = client_->options.call_limit;
+  client_->Send(std::move(request),
+                [done = std::move(done)](const call_outcome& outcome) {
+                  done(ReadResult<object_list>(outcome, ReadList));
+                });
+}
+
+void http_object_store::Watch(const std::string& prefix, revision after,
+                              std::chrono::milliseconds wait,
+                              std::function<void(result<object_list>)> done) {
+  call_request request;
+  request.kind = call_kind::kWatch;
+  request.target = "/v1/watch?prefix=" + Encode(prefix) +
+                   "&after=" + std::to_string(after.value()) +
+                   "&wait_ms=" + std::to_string(wait.count());
+  request.limit = wait + client_->options.watch_margin;
+  client_->Send(std::move(request),
+                [done = std::move(done)](const call_outcome& outcome) {
+                  done(ReadResult<object_list>(outcome, ReadList));
+                });
+}
+
+void http_object_store::ListHosts(
+    std::function<void(result<std::vector<listed_host>>)> done) {
+  using hosts = std::vector<listed_host>;
+  call_request request;
+  request.target = "/v1/hosts";
+  request.limit = client_->options.call_limit;
+  client_->Send(std::move(request),
+                [done = std::move(done)](const call_outcome& outcome) {
+                  done(ReadResult<hosts>(outcome, ReadHosts));
+                });
+}
+
+}  // namespace bluebell::platform
--- a/packages/platform/memory_object_store.cpp
+++ b/packages/platform/memory_object_store.cpp
@@ -7,9 +7,6 @@
 namespace bluebell::platform {
 namespace {
 
-// Watches end this long after their wait, if no answer arrives.
-constexpr std::chrono::milliseconds kWatchMargin{2000};
-
 using count_field = std::int64_t call_counts::*;
 
 bool HasPrefix(const std::string& name, const std::string& prefix) {
@@ -382,7 +379,8 @@
                                 std::chrono::milliseconds wait,
                                 std::function<void(result<object_list>)> done) {
   using outcome = result<object_list>;
-  const auto id = client_->Open<outcome>(std::move(done), wait + kWatchMargin);
+  const auto id =
+      client_->Open<outcome>(std::move(done), wait + client_->call_limit);
   if (!client_->Depart<outcome>(id, &call_counts::watches)) return;
   client_->Travel(&call_counts::watches,
                   [state = client_.get(), id, prefix, after, wait] {
--- a/packages/platform/memory_object_store.h
+++ b/packages/platform/memory_object_store.h
@@ -81,6 +81,7 @@
  public:
   static constexpr std::chrono::milliseconds kDefaultCallLimit{2000};
 
+  /// A call lasts at most `call_limit`, a watch its wait and `call_limit`.
   explicit memory_object_store(memory_platform& shared,
                                clock::duration call_limit = kDefaultCallLimit);
   ~memory_object_store() override;
--- /dev/null
+++ b/packages/platform/tests/http_object_store_test.cpp
@@ -0,0 +1,189 @@
+#include "platform/http_object_store.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "standins/http_server.h"
+
+namespace bluebell::platform {
+namespace {
+
+using standins::http_exchange;
+using standins::http_response;
+using standins::http_server;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Answers a read or write of an object without keeping it.
+http_response Answer(const std::string& path) {
+  const auto name = path.substr(std::string("/v1/objects/").size());
+  http_response response;
+  response.body =
+      nlohmann::json{{"name", name}, {"version", 1}, {"value", nullptr}}.dump();
+  return response;
+}
+
+class http_store_test : public testing::Test {
+ protected:
+  http_store_test() { address_ = server_.Listen("127.0.0.1:0").value(); }
+
+  void MakeStore(http_store_options options) {
+    if (options.addresses.empty()) options.addresses = {address_};
+    store_ = http_object_store::Create(context_, options).value();
+  }
+
+  template <class Result, class Call>
+  Result Await(Call call) {
+    std::optional<Result> outcome;
+    call([&](Result answer) { outcome = std::move(answer); });
+    const auto end = std::chrono::steady_clock::now() + seconds(20);
+    while (!outcome && std::chrono::steady_clock::now() < end) {
+      context_.run_one_for(milliseconds(20));
+    }
+    if (!outcome) throw std::runtime_error("no callback");
+    return *outcome;
+  }
+  result<object> Get(const std::string& name) {
+    return Await<result<object>>(
+        [&](auto done) { store_->Get(name, std::move(done)); });
+  }
+  write_result Put(const std::string& name) {
+    return Await<write_result>([&](auto done) {
+      store_->Put(name, 1, std::nullopt, std::move(done));
+    });
+  }
+
+  boost::asio::io_context context_;
+  standins::answer_fault fault_ = standins::answer_fault::kNone;
+  int status_ = 200;
+  http_server server_{context_, [this](const auto& exchange) {
+                        auto response = Answer(exchange->request().path);
+                        response.status = status_;
+                        exchange->set_fault(fault_);
+                        exchange->Send(std::move(response));
+                      }};
+  std::string address_;
+  std::unique_ptr<http_object_store> store_;
+};
+
+// Guards against writes on a kept connection, which may have gone silent, and
+// against a new connection for each read.
+TEST_F(http_store_test, ReadsShareAConnectionAndEachWriteOpensOne) {
+  MakeStore({});
+  ASSERT_TRUE(Get("a"));
+  ASSERT_TRUE(Get("b"));
+  EXPECT_EQ(server_.accepted(), 1);
+  ASSERT_TRUE(Put("a"));
+  ASSERT_TRUE(Put("a"));
+  EXPECT_EQ(server_.accepted(), 3);
+}
+
+// Guards against reads on a connection that was idle for too long.
+TEST_F(http_store_test, ConnectionsIdleBeyondTheLimitAreNotUsed) {
+  http_store_options options;
+  options.idle_limit = milliseconds(0);
+  MakeStore(options);
+  ASSERT_TRUE(Get("a"));
+  ASSERT_TRUE(Get("b"));
+  EXPECT_EQ(server_.accepted(), 2);
+}
+
+// Guards against failed reads after the platform closed a kept connection.
+TEST_F(http_store_test, ReadIsRepeatedWhenItsKeptConnectionWasClosed) {
+  MakeStore({});
+  ASSERT_TRUE(Get("a"));
+  server_.Stop();
+  ASSERT_TRUE(server_.Listen(address_));
+  EXPECT_TRUE(Get("b"));
+  EXPECT_EQ(server_.accepted(), 2);
+}
+
+// Guards against taking a surplus answer, which arrives on a kept connection
+// after the right one, for the answer to the next call.
+TEST_F(http_store_test, SurplusAnswerDoesNotReachTheNextCall) {
+  using boost::asio::ip::tcp;
+  tcp::acceptor acceptor(
+      context_, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+  const auto answer = [](const std::string& name) {
+    const auto body = Answer("/v1/objects/" + name).body;
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
+  };
+  std::vector<tcp::socket> peers;
+  // Sends the answer to the next connection; its request need not be read.
+  const auto accept = [&](const std::string& name) {
+    acceptor.async_accept([&, name](const auto&, tcp::socket socket) {
+      auto& peer = peers.emplace_back(std::move(socket));
+      boost::asio::write(peer, boost::asio::buffer(answer(name)));
+    });
+  };
+  peers.reserve(2);
+  http_store_options options;
+  options.addresses = {"127.0.0.1:" +
+                       std::to_string(acceptor.local_endpoint().port())};
+  MakeStore(options);
+  accept("a");
+  ASSERT_TRUE(Get("a"));
+  boost::asio::write(peers[0], boost::asio::buffer(answer("a")));
+  accept("b");
+  const auto next = Get("b");
+  ASSERT_TRUE(next);
+  EXPECT_EQ(next->name, "b");
+}
+
+// Guards against a dead first address that stops every call.
+TEST_F(http_store_test, NextAddressIsUsedWhenOneRefuses) {
+  http_server closed(context_, [](const auto&) {});
+  const auto refused = closed.Listen("127.0.0.1:0").value();
+  closed.Stop();
+  http_store_options options;
+  options.addresses = {refused, address_};
+  MakeStore(options);
+  EXPECT_TRUE(Put("a"));
+  EXPECT_TRUE(Get("a"));
+}
+
+// Guards against telling a cut or unclear answer to a write as "not written".
+TEST_F(http_store_test, UnclearAnswerToAWriteLeavesTheOutcomeUnknown) {
+  MakeStore({});
+  fault_ = standins::answer_fault::kTruncate;
+  EXPECT_EQ(Put("a").error().cause.code, error_code::kOutcomeUnknown);
+  EXPECT_EQ(Get("a").error().code, error_code::kUnavailable);
+  fault_ = standins::answer_fault::kNone;
+  status_ = 503;
+  EXPECT_EQ(Put("a").error().cause.code, error_code::kOutcomeUnknown);
+  EXPECT_EQ(Get("a").error().code, error_code::kUnavailable);
+}
+
+// Guards against callbacks into a destroyed owner of the store.
+TEST_F(http_store_test, DestroyedStoreCallsNothingBack) {
+  MakeStore({});
+  bool called = false;
+  store_->Get("a", [&](const auto&) { called = true; });
+  store_->Put("a", 1, std::nullopt, [&](const auto&) { called = true; });
+  store_.reset();
+  context_.run_for(milliseconds(50));
+  EXPECT_FALSE(called);
+}
+
+TEST(http_store_options, InvalidAddressesAreRefused) {
+  boost::asio::io_context context;
+  for (const std::string address :
+       {"", "localhost:1", "127.0.0.1", "127.0.0.1:", "127.0.0.1:0",
+        "127.0.0.1:65536", "127.0.0.1:1x"}) {
+    http_store_options options;
+    options.addresses = {address};
+    EXPECT_FALSE(http_object_store::Create(context, options)) << address;
+  }
+  EXPECT_FALSE(http_object_store::Create(context, {}));
+}
+
+}  // namespace
+}  // namespace bluebell::platform
--- a/packages/standins/http_server.cpp
+++ b/packages/standins/http_server.cpp
@@ -78,6 +78,7 @@
   exchange_handler handler;
   tcp::acceptor acceptor;
   connection_set connections;
+  std::int64_t accepted = 0;
 };
 
 namespace {
@@ -313,6 +314,7 @@
                                                     tcp::socket socket) {
     if (!self->acceptor.is_open()) return;
     if (!failure) {
+      ++self->accepted;
       error_code ignored;
       socket.set_option(tcp::no_delay(true), ignored);
       auto accepted = std::make_shared<connection>(std::move(socket), self);
@@ -369,6 +371,8 @@
   }
 }
 
+std::int64_t http_server::accepted() const { return state_->accepted; }
+
 void ParseTarget(const std::string& target, http_request& request) {
   request.target = target;
   const auto mark = target.find('?');
--- a/packages/standins/http_server.h
+++ b/packages/standins/http_server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -92,6 +93,8 @@
   /// Makes all open connections silent for good, except the one of `spared`.
   /// New connections work.
   void FreezeConnections(const http_exchange* spared = nullptr);
+  /// Number of connections accepted so far.
+  std::int64_t accepted() const;
 
   struct shared_state;
 
--- a/packages/standins/platform_standin.cpp
+++ b/packages/standins/platform_standin.cpp
@@ -55,7 +55,7 @@
   }
   if (call == "PUT /admin/hosts" && body.is_object() &&
       body.contains("hosts")) {
-    Later(hosts_lag_, [this, hosts = body["hosts"]] { hosts_ = hosts; });
+    SetHosts(body["hosts"]);
     return exchange->Send(JsonResponse(200, json::object()));
   }
   exchange->Send(ErrorResponse(404, "not_found", call));
@@ -94,6 +94,10 @@
   return all;
 }
 
+void platform_standin::SetHosts(const json& hosts) {
+  Later(hosts_lag_, [this, hosts] { hosts_ = hosts; });
+}
+
 void platform_standin::HandleCall(const exchange_ptr& exchange) {
   if (faults_.outage) return exchange->Close();
   if (TakeOne(faults_.drop_requests)) return exchange->Close();
--- a/packages/standins/platform_standin.h
+++ b/packages/standins/platform_standin.h
@@ -35,6 +35,8 @@
   result<void> ApplyFaults(const nlohmann::json& fields,
                            const http_exchange* spared = nullptr);
   nlohmann::json Counters() const;
+  /// Shows `hosts`, an array of `{"id","state"}`, after the lag.
+  void SetHosts(const nlohmann::json& hosts);
 
   /// Called when `outage` is switched; the argument tells whether it is on.
   void set_on_outage(std::function<void(bool)> callback) {
