Add placement: ledger, planners, throttle and controller

Models and adapters have to stay reachable without ever overcommitting an engine, although orders are lost, late or doubled and controllers change.

memory_ledger counts resident + loading + unconfirmed unloading + every load whose order may still take effect. A report that shows a target as absent does not settle its load, because the order may arrive afterwards. On engines that check fencing numbers, a load is settled when the present process enforces a higher number; the controller raises its number by writing the lease object again. On the others it is settled after the engine responded for the lifetime of an order (120 s), and every load is listed in placement/<endpoint> before its order is sent. Engines that check fencing numbers get no load from a new controller before they have accepted its number and reported afterwards.

--- a/packages/base/events.cpp
+++ b/packages/base/events.cpp
@@ -38,6 +38,16 @@
        "A request was refused because endpoints died while running it"},
 
       // 700-799: placement
+      {id::kControlAcquired, level::kInfo, "control_acquired",
+       "This host controls the engines"},
+      {id::kControlLost, level::kWarning, "control_lost",
+       "This host no longer controls the engines"},
+      {id::kOrderSent, level::kDebug, "order_sent",
+       "An engine was ordered to load or unload a model or adapter"},
+      {id::kOrderRefused, level::kWarning, "order_refused",
+       "An engine refused an order because of its fencing number"},
+      {id::kModelUnplaced, level::kError, "model_unplaced",
+       "No engine has room for a model; it is loaded when requests wait"},
 
       // 800-899: requests
       {id::kRequestRefused, level::kInfo, "request_refused",
--- a/packages/base/events.h
+++ b/packages/base/events.h
@@ -28,6 +28,11 @@
   kRequestQuarantined = 602,
 
   // 700-799: placement
+  kControlAcquired = 700,
+  kControlLost = 701,
+  kOrderSent = 702,
+  kOrderRefused = 703,
+  kModelUnplaced = 704,
 
   // 800-899: requests
   kRequestRefused = 800,
--- /dev/null
+++ b/packages/placement/intent_log.cpp
@@ -0,0 +1,137 @@
+#include "placement/intent_log.h"
+
+#include "base/digest.h"
+
+namespace bluebell::placement {
+namespace {
+
+constexpr const char* kPrefix = "placement/";
+
+std::string NameOf(const endpoint_id& engine) {
+  return kPrefix + engine.value();
+}
+
+}  // namespace
+
+intent_log::intent_log(platform::object_store& store, merge_function merge)
+    : store_(store), merge_(std::move(merge)) {
+  Reset();
+}
+
+void intent_log::Reset() {
+  records_.clear();
+  self_ = std::make_shared<intent_log*>(this);
+}
+
+void intent_log::ReadAll(std::function<void()> done) {
+  store_.List(kPrefix, [self = std::weak_ptr<intent_log*>(self_),
+                        done = std::move(done)](
+                           const result<platform::object_list>& found) {
+    const auto log = self.lock();
+    if (!log || !found) return;
+    for (const auto& item : found->items) {
+      const std::string id = item.name.substr(std::string(kPrefix).size());
+      (*log)->Merge(endpoint_id(id), item);
+    }
+    done();
+  });
+}
+
+void intent_log::Write(const endpoint_id& engine, const loads& open,
+                       std::uint64_t fence, std::function<void()> done) {
+  record& known = records_[engine];
+  if (known.busy) return;
+  known.busy = true;
+  const std::string writer = MakeUniqueId();
+  nlohmann::json value = {
+      {"writer", writer}, {"fence", fence}, {"loads", nlohmann::json::array()}};
+  std::set<std::string> targets;
+  for (const auto& [target, size] : open) {
+    value["loads"].push_back(
+        {{"target", target}, {"memory_bytes", size.value()}});
+    targets.insert(target);
+  }
+  store_.Put(NameOf(engine), value, revision(known.version),
+             [self = std::weak_ptr<intent_log*>(self_), engine, writer, targets,
+              done = std::move(done)](const platform::write_result& end) {
+               if (const auto log = self.lock()) {
+                 (*log)->OnWritten(engine, writer, targets, end, done);
+               }
+             });
+}
+
+bool intent_log::Covers(const endpoint_id& engine,
+                        const std::string& target) const {
+  const auto found = records_.find(engine);
+  return found != records_.end() && found->second.written.count(target) > 0;
+}
+
+void intent_log::OnWritten(const endpoint_id& engine, const std::string& writer,
+                           std::set<std::string> targets,
+                           const platform::write_result& end,
+                           const std::function<void()>& done) {
+  record& known = records_[engine];
+  if (end) {
+    known.busy = false;
+    known.version = end->value();
+    known.written = std::move(targets);
+    done();
+    return;
+  }
+  const auto& failure = end.error();
+  if (failure.conflict && failure.conflict->current) {
+    known.busy = false;
+    Merge(engine, *failure.conflict->current);
+    return;
+  }
+  if (failure.cause.code == error_code::kUnavailable) {
+    known.busy = false;
+    return;
+  }
+  Reread(engine, writer, std::move(targets), done);
+}
+
+// Finds out what the object holds after a write of unknown outcome. The write
+// may also take effect later; the next write then meets a conflict and merges.
+void intent_log::Reread(const endpoint_id& engine, const std::string& writer,
+                        std::set<std::string> targets,
+                        std::function<void()> done) {
+  store_.Get(NameOf(engine),
+             [self = std::weak_ptr<intent_log*>(self_), engine, writer, targets,
+              done = std::move(done)](const result<platform::object>& found) {
+               const auto log = self.lock();
+               if (!log) return;
+               record& known = (*log)->records_[engine];
+               known.busy = false;
+               if (!found) return;
+               if (found->value.is_object() &&
+                   found->value.value("writer", "") == writer) {
+                 known.version = found->version.value();
+                 known.written = targets;
+                 done();
+               } else {
+                 (*log)->Merge(engine, *found);
+               }
+             });
+}
+
+// Takes over version and loads of an object that this controller did not
+// write. Until the next write, nothing counts as covered.
+void intent_log::Merge(const endpoint_id& engine,
+                       const platform::object& found) {
+  record& known = records_[engine];
+  known.version = found.version.value();
+  known.written.clear();
+  loads listed;
+  if (found.value.is_object()) {
+    for (const auto& load :
+         found.value.value("loads", nlohmann::json::array())) {
+      if (!load.is_object()) continue;
+      listed.emplace_back(load.value("target", ""),
+                          byte_count(load.value("memory_bytes", 0L)));
+    }
+  }
+  merge_(engine, listed);
+}
+
+}  // namespace bluebell::placement
--- /dev/null
+++ b/packages/placement/intent_log.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/ids.h"
+#include "platform/object_store.h"
+
+namespace bluebell::placement {
+
+/// Intents of loads on engines that ignore fencing numbers: one object
+/// `placement/<endpoint>` per engine, which lists every load whose order may
+/// still take effect.
+///
+/// Each write replaces the version that this controller knows. A write that
+/// an earlier controller has under way therefore fails once this controller
+/// has written, and its load is never ordered.
+class intent_log {
+ public:
+  using loads = std::vector<std::pair<std::string, byte_count>>;
+  /// Receives loads that another controller may have ordered.
+  using merge_function = std::function<void(const endpoint_id&, const loads&)>;
+
+  intent_log(platform::object_store& store, merge_function merge);
+
+  /// Reads the intents of all engines; `done` is called only after success.
+  void ReadAll(std::function<void()> done);
+  /// Writes the loads of an engine, if no write is under way. `done` is called
+  /// only after success; after a failure the object is read again.
+  void Write(const endpoint_id& engine, const loads& open, std::uint64_t fence,
+             std::function<void()> done);
+  /// Whether the stored object, written by this controller in this term, lists
+  /// the target.
+  bool Covers(const endpoint_id& engine, const std::string& target) const;
+  /// Forgets everything known, at the end of a term.
+  void Reset();
+
+ private:
+  struct record {
+    std::uint64_t version = 0;
+    bool busy = false;
+    std::set<std::string> written;
+  };
+
+  void OnWritten(const endpoint_id& engine, const std::string& writer,
+                 std::set<std::string> targets,
+                 const platform::write_result& end,
+                 const std::function<void()>& done);
+  void Reread(const endpoint_id& engine, const std::string& writer,
+              std::set<std::string> targets, std::function<void()> done);
+  void Merge(const endpoint_id& engine, const platform::object& found);
+
+  platform::object_store& store_;
+  merge_function merge_;
+  std::map<endpoint_id, record> records_;
+  /// Replaced at each reset, so that answers of an earlier term are ignored.
+  std::shared_ptr<intent_log*> self_;
+};
+
+}  // namespace bluebell::placement
--- /dev/null
+++ b/packages/placement/residency.cpp
@@ -0,0 +1,113 @@
+#include "placement/residency.h"
+
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+
+// A transition table of more than 20 rows needs longer type lists.
+#include <boost/mpl/vector/vector30.hpp>
+
+namespace bluebell::placement {
+namespace {
+
+namespace msm = boost::msm;
+using msm::front::none;
+
+struct load_ordered {};
+struct unload_ordered {};
+struct reported_loading {};
+struct reported_resident {};
+struct reported_absent {};
+struct abandoned {};
+struct settled {};
+
+struct residency_front : msm::front::state_machine_def<residency_front> {
+  struct absent : msm::front::state<> {};
+  struct ordered : msm::front::state<> {};
+  struct loading : msm::front::state<> {};
+  struct resident : msm::front::state<> {};
+  struct unloading : msm::front::state<> {};
+  struct lingering : msm::front::state<> {};
+
+  using initial_state = absent;
+
+  template <class Source, class Event, class Target>
+  using row = msm::front::Row<Source, Event, Target, none, none>;
+
+  // clang-format off
+  struct transition_table : boost::mpl::vector21<
+      row<absent,    load_ordered,      ordered>,
+      row<absent,    reported_loading,  loading>,
+      row<absent,    reported_resident, resident>,
+      row<ordered,   unload_ordered,    unloading>,
+      row<ordered,   reported_loading,  loading>,
+      row<ordered,   reported_resident, resident>,
+      row<ordered,   abandoned,         lingering>,
+      row<loading,   load_ordered,      ordered>,
+      row<loading,   unload_ordered,    unloading>,
+      row<loading,   reported_resident, resident>,
+      row<loading,   reported_absent,   lingering>,
+      row<resident,  unload_ordered,    unloading>,
+      row<resident,  reported_loading,  loading>,
+      row<resident,  reported_absent,   lingering>,
+      row<unloading, load_ordered,      ordered>,
+      row<unloading, reported_absent,   lingering>,
+      row<lingering, load_ordered,      ordered>,
+      row<lingering, unload_ordered,    unloading>,
+      row<lingering, reported_loading,  loading>,
+      row<lingering, reported_resident, resident>,
+      row<lingering, settled,           absent>> {};
+  // clang-format on
+
+  // Observations without a row leave the state unchanged: an ordered load that
+  // is not yet reported, for example, still counts.
+  template <class Machine, class Event>
+  void no_transition(const Event&, Machine&, int) {}
+};
+
+}  // namespace
+
+struct residency::machine : msm::back::state_machine<residency_front> {};
+
+residency::residency() : machine_(std::make_unique<machine>()) {
+  machine_->start();
+}
+residency::~residency() = default;
+residency::residency(residency&&) noexcept = default;
+residency& residency::operator=(residency&&) noexcept = default;
+
+// MSM numbers the states in the order in which they first appear as a source
+// in the transition table, which is the order of `residency_state`.
+residency_state residency::state() const {
+  return static_cast<residency_state>(machine_->current_state()[0]);
+}
+
+bool residency::Process(residency_event event) {
+  const residency_state before = state();
+  switch (event) {
+    case residency_event::kLoadOrdered:
+      machine_->process_event(load_ordered{});
+      break;
+    case residency_event::kUnloadOrdered:
+      machine_->process_event(unload_ordered{});
+      break;
+    case residency_event::kReportedLoading:
+      machine_->process_event(reported_loading{});
+      break;
+    case residency_event::kReportedResident:
+      machine_->process_event(reported_resident{});
+      break;
+    case residency_event::kReportedAbsent:
+      machine_->process_event(reported_absent{});
+      break;
+    case residency_event::kAbandoned:
+      machine_->process_event(abandoned{});
+      break;
+    case residency_event::kSettled:
+      machine_->process_event(settled{});
+      break;
+  }
+  return state() != before;
+}
+
+}  // namespace bluebell::placement
--- a/packages/routing/endpoint_view.cpp
+++ b/packages/routing/endpoint_view.cpp
@@ -76,7 +76,7 @@
   state.configured = true;
   state.listed_leaving = listed_leaving_.count(id) > 0;
   if (state.row.kind == config::endpoint_kind::kService) {
-    groups_[state.row.group].insert(id);
+    groups_[state.row.group].emplace(id, &state);
   }
   NotifyChange(id);
 }
@@ -93,9 +93,8 @@
   const auto found = index.find(target);
   if (found == index.end()) return serving;
   serving.reserve(found->second.size());
-  for (const auto& id : found->second) {
-    const auto& state = endpoints_.at(id);
-    if (state.MayReceive()) serving.push_back(&state);
+  for (const auto& [id, state] : found->second) {
+    if (state->MayReceive()) serving.push_back(state);
   }
   return serving;
 }
@@ -223,7 +222,7 @@
   if (after == nullptr) return;
   for (const auto& name : after->resident) {
     if (before != nullptr && before->resident.count(name) > 0) continue;
-    residents_[name].insert(id);
+    residents_[name].emplace(id, &endpoints_.at(id));
   }
 }
 
--- a/packages/routing/endpoint_view.h
+++ b/packages/routing/endpoint_view.h
@@ -123,8 +123,9 @@
   config::snapshot& rows_;
   event_log* log_;
   std::map<endpoint_id, endpoint_state> endpoints_;
-  std::unordered_map<std::string, std::set<endpoint_id>> residents_;
-  std::unordered_map<std::string, std::set<endpoint_id>> groups_;
+  using endpoint_index = std::map<endpoint_id, const endpoint_state*>;
+  std::unordered_map<std::string, endpoint_index> residents_;
+  std::unordered_map<std::string, endpoint_index> groups_;
   std::set<endpoint_id> listed_leaving_;
   std::vector<std::function<void(const endpoint_id&)>> crash_listeners_;
   std::vector<std::function<void(const endpoint_id&, clock::time_point)>>
