--- a/packages/placement/controller.cpp
+++ b/packages/placement/controller.cpp
@@ -54,7 +54,6 @@
     : clock_(source),
       rows_(rows),
       endpoints_(endpoints),
-      fleet_(fleet),
       orders_(orders),
       log_(log),
       options_(options),
@@ -400,15 +399,29 @@
     }
     for (const auto& id : holders) {
       if (copies >= options_.adapter_copies) break;
-      if (ledger_.CanLoad(id, target)) {
-        Load(id, target);
-        ++copies;
-      } else if (copies == 0) {
-        EvictAdapters(id, row.memory.value() - ledger_.Free(id).value());
-        break;
-      }
+      if (!ledger_.CanLoad(id, target)) continue;
+      Load(id, target);
+      ++copies;
     }
+    if (copies == 0) MakeRoomForAdapter(holders, row.memory);
+  }
+}
+
+// Unloads idle adapters on the engine that holds the least recently used one.
+void controller::MakeRoomForAdapter(const std::vector<endpoint_id>& holders,
+                                    byte_count size) {
+  const endpoint_id* chosen = nullptr;
+  clock::time_point oldest;
+  for (const auto& id : holders) {
+    const auto idle = IdleAdapters(id);
+    if (idle.empty()) continue;
+    const auto last_use = demand_.LastUse(idle.front());
+    if (chosen != nullptr && last_use >= oldest) continue;
+    chosen = &id;
+    oldest = last_use;
   }
+  if (chosen == nullptr) return;
+  EvictAdapters(*chosen, size.value() - ledger_.Free(*chosen).value());
 }
 
 // Unloads adapters whose model is no longer on the engine.
--- a/packages/placement/controller.h
+++ b/packages/placement/controller.h
@@ -106,6 +106,8 @@
   void Execute(const planning_input& input, const plan& step);
   void ReportUnplaced(const planning_input& input, const plan& step);
   void PlaceAdapters();
+  void MakeRoomForAdapter(const std::vector<endpoint_id>& holders,
+                          byte_count size);
   void UnloadStrandedAdapters();
   void EvictAdapters(const endpoint_id& id, std::int64_t bytes);
   std::int64_t EvictableBytes(const endpoint_id& id) const;
@@ -125,7 +127,6 @@
   clock& clock_;
   config::snapshot& rows_;
   routing::endpoint_view& endpoints_;
-  const fleet::fleet_view& fleet_;
   order_sink& orders_;
   event_log* log_;
   controller_options options_;
--- a/packages/placement/load_throttle.h
+++ b/packages/placement/load_throttle.h
@@ -22,7 +22,7 @@
 /// Limits the load on the weight store.
 class load_throttle {
  public:
-  load_throttle(const clock& source, throttle_options options = {});
+  explicit load_throttle(const clock& source, throttle_options options = {});
 
   /// Takes a place for the load; a repeated load keeps its place, but model
   /// loads are limited in rate in either case.
--- a/packages/placement/memory_ledger.cpp
+++ b/packages/placement/memory_ledger.cpp
@@ -300,7 +300,7 @@
 bool memory_ledger::IsDead(const ledger_engine& engine,
                            const open_order& order) const {
   const auto age = engine.responsive - order.age;
-  if (age >= clock::duration::zero()) return true;
+  if (!engine.checks_fencing) return age >= order_lifetime_;
   return order.fence < engine.confirmed_fence ||
          age >= order_lifetime_ * kFencedLifetimeFactor;
 }
--- a/packages/placement/placement_planner.cpp
+++ b/packages/placement/placement_planner.cpp
@@ -333,29 +333,54 @@
     if (is_move) --moves_left_;
   }
 
-  // Loads a model of another engine elsewhere, so that its copy there becomes
-  // surplus and makes room in a later step.
+  // Loads a model of some engine elsewhere, so that its copy there becomes
+  // surplus and makes room in a later step. The room that is left there stays
+  // set aside until then.
   bool Relocate(const need& wanted, const std::vector<std::int64_t>& total) {
     const auto size = input_.models[wanted.model].size;
     const int engines = static_cast<int>(input_.engines.size());
     for (int e = 0; e < engines; ++e) {
-      if (!input_.engines[e].usable || !input_.engines[e].controllable)
-        continue;
+      if (!MayHold(wanted.model, e)) continue;
+      auto room = total[e] + evictable_[e];
+      for (const auto& there : on_engine_[e]) {
+        if (IsBeingRelocated(there)) room += input_.models[there.model].size;
+      }
+      if (room < size) continue;
+      Await(e, std::min(size, total[e]));
+      return true;
+    }
+    for (int e = 0; e < engines; ++e) {
+      if (!MayHold(wanted.model, e)) continue;
       for (const auto& there : on_engine_[e]) {
         if (there.copy->state != copy_state::kResident) continue;
-        if (there.model == wanted.model) continue;
         const auto moved = input_.models[there.model].size;
         if (total[e] + evictable_[e] + moved < size) continue;
         const need elsewhere{there.model, need_tier::kFirstCopy, 0};
         const int to = Best(Candidates(elsewhere), moved, free_);
         if (to < 0) continue;
         Load(there.model, to, false);
+        Await(e, std::min(size, total[e]));
         return true;
       }
     }
     return false;
   }
 
+  bool MayHold(int model, int engine) const {
+    const auto& there = input_.engines[engine];
+    if (!there.usable || !there.controllable) return false;
+    const auto& copies = input_.copies[model];
+    return std::none_of(copies.begin(), copies.end(), [&](const auto& copy) {
+      return copy.engine == engine;
+    });
+  }
+
+  // Whether a further copy of the model is on its way to another engine.
+  bool IsBeingRelocated(const placed& there) const {
+    return there.copy->state == copy_state::kResident &&
+           live_[there.model] > resident_[there.model];
+  }
+
   // Unloads the last copies of models that nobody waits for, in favour of a
   // model that has requests waiting and no copy.
   bool TakeTurn(const need& wanted, const std::vector<int>& candidates,
