--- a/scripts/bench.py
+++ b/scripts/bench.py
@@ -30,6 +30,8 @@
 MODEL_BYTES = 10_000
 ADAPTER_BYTES = 50
 ENGINE_BYTES = 25_000
+MEMBER_SECONDS = 25  # a new member is admitted every 17 s at the earliest
+BUCKET_FILL_SECONDS = 12  # shares are taken over empty and fill at their rate
 
 
 def digest(text):
@@ -144,12 +146,23 @@
         wait_until(self.all_hosts_known, "all hosts to know each other")
         self.write_rows()
         wait_until(self.all_targets_served, "every model to be served", 120)
+        wait_until(self.all_members, "all hosts to be members",
+                   MEMBER_SECONDS * len(self.hosts))
+        time.sleep(BUCKET_FILL_SECONDS)
 
     def all_hosts_known(self):
         return all(
             len(call("GET", h[0], "/v1/entry-hosts")["hosts"]) ==
             len(self.hosts) for h in self.hosts)
 
+    def status(self, index):
+        return call("GET", self.hosts[index][1], "/admin/v1/status",
+                    headers={"Authorization": f"Bearer {OPERATOR_KEY}"})
+
+    def all_members(self):
+        return all(self.status(i)["members"] == len(self.hosts)
+                   for i in range(len(self.hosts)))
+
     def all_targets_served(self):
         resident = set()
         for address in self.engines:
