--- a/packages/admin/tests/admin_service_test.cpp
+++ b/packages/admin/tests/admin_service_test.cpp
@@ -188,6 +188,7 @@
   all += Call(Request("PUT", "config/keys/" + kDigest,
                       R"({"account":"a","bbr-secret":1})", "2"))
              .body;
+  all += Call(Request("GET", "config/keys")).body;
   all += Call(Request("DELETE", "config/keys/" + secret, "", "3")).body;
   all += Call(Request("GET", "config/keys")).body;
   all += Call(Request("GET", "config/keys/" + std::string(64, 'b'))).body;
