--- a/packages/gateway/tests/gateway_fixture.h
+++ b/packages/gateway/tests/gateway_fixture.h
@@ -130,6 +130,7 @@
     boost::system::error_code ignored;
     boost::asio::ip::tcp::socket last(context_);
     last.connect(acceptor_.local_endpoint(), ignored);
+    last.close(ignored);
     thread_.join();
   }
 
