--- a/packages/limits/fleet_admission.cpp
+++ b/packages/limits/fleet_admission.cpp
@@ -182,6 +182,10 @@
   }
 }
 
+int fleet_admission::UsableParts(const account_id& account) {
+  return ledger_.MaySpend(account) ? Find(account).parts : 0;
+}
+
 fleet_admission::budget& fleet_admission::Find(const account_id& account) {
   auto& found = budgets_[account];
   if (!found) found = std::make_unique<budget>(clock_.now());
--- a/packages/limits/fleet_admission.h
+++ b/packages/limits/fleet_admission.h
@@ -35,6 +35,10 @@
                std::function<void(reserve_result)> done) override;
   void Settle(const reservation& ended, token_count used) override;
 
+  /// Parts (of `kWholeBudget`) that this host may spend from now, for status
+  /// and metrics. Over all hosts they never exceed a whole budget.
+  int UsableParts(const account_id& account);
+
  private:
   struct budget {
     explicit budget(clock::time_point now) : bucket(now) {}
--- a/packages/limits/share_ledger.cpp
+++ b/packages/limits/share_ledger.cpp
@@ -153,9 +153,6 @@
     candidates[id] = {each.stamp, since};
     if (now - since < kReclaimDelay) continue;
     next.Remove(each.host, each.incarnation);
-    events_.Record(
-        event_id::kShareReclaimed,
-        {{"host", each.host.value()}, {"parts", std::to_string(each.parts)}});
   }
   own.candidates = std::move(candidates);
 }
@@ -177,8 +174,9 @@
   budget& own = budgets_[account];
   own.busy = false;
   // Hosts that collide on one record try again at different times.
-  const auto jitter =
-      std::chrono::milliseconds(Hash64(sent.stamp) % kRetryDelay.count());
+  const auto jitter = std::chrono::milliseconds(
+      Hash64(fleet_.self().value(), sent.expected.value()) %
+      static_cast<std::uint64_t>(kRetryDelay.count()));
   own.next_step = clock_.now() + jitter;
   if (outcome) {
     LogReclaimed(account, *own.record, next);
@@ -206,7 +204,7 @@
     }
     events_.Record(event_id::kShareReclaimed,
                    {{"account", account.value()},
-                    {"host", each.host.value()},
+                    {"holder", each.host.value()},
                     {"parts", std::to_string(each.parts)}});
   }
 }
