fleet: prove that no right has two holders

A reclaim now needs half of the present list and, unless the holder's record names that list, half of the list before it. The majority of the present list, used before, left a host stuck when a member ended right after the list had changed.

--- a/packages/fleet/contact_tracker.cpp
+++ b/packages/fleet/contact_tracker.cpp
@@ -31,15 +31,17 @@
     : timing_(timing), self_(std::move(self)) {}
 
 void contact_tracker::SetMembers(std::vector<host_id> members,
+                                 std::vector<host_id> previous,
                                  clock::time_point now) {
   members_ = std::move(members);
+  previous_ = std::move(previous);
   RenewQuorums(now);
 }
 
 void contact_tracker::ResetWindows(clock::time_point now) {
   read_.Reset();
-  majority_.Reset();
   half_.Reset();
+  previous_half_.Reset();
   RenewQuorums(now);
 }
 
@@ -101,21 +103,27 @@
 }
 
 std::optional<clock::time_point> contact_tracker::WindowStart(
-    quorum part, clock::time_point now) const {
+    bool holder_has_present_list, clock::time_point now) const {
   const auto read = read_.Start(now);
-  const auto heard = (part == quorum::kMajority ? majority_ : half_).Start(now);
-  if (!read || !heard) return std::nullopt;
-  return std::max(*read, *heard);
-}
-
-// Returns until when `needed` members count as heard. This host always hears
-// itself.
-clock::time_point contact_tracker::QuorumUntil(std::size_t needed) const {
+  const auto half = half_.Start(now);
+  if (!read || !half) return std::nullopt;
+  const auto start = std::max(*read, *half);
+  if (holder_has_present_list) return start;
+  const auto previous = previous_half_.Start(now);
+  if (!previous) return std::nullopt;
+  return std::max(start, *previous);
+}
+
+// Returns until when at least half of `hosts` count as heard. This host always
+// hears itself.
+clock::time_point contact_tracker::HalfHeardUntil(
+    const std::vector<host_id>& hosts) const {
+  const std::size_t needed = (hosts.size() + 1) / 2;
   if (needed == 0) return clock::time_point::max();
   std::vector<clock::time_point> ends;
-  for (const auto& member : members_) {
-    const auto found = answers_.find(member);
-    if (member == self_) {
+  for (const auto& host : hosts) {
+    const auto found = answers_.find(host);
+    if (host == self_) {
       ends.push_back(clock::time_point::max());
     } else if (found != answers_.end()) {
       ends.push_back(found->second.sent + timing_.contact_bound);
@@ -127,9 +135,8 @@
 }
 
 void contact_tracker::RenewQuorums(clock::time_point now) {
-  const auto size = members_.size();
-  majority_.Renew(now, QuorumUntil(size == 0 ? 0 : size / 2 + 1));
-  half_.Renew(now, QuorumUntil((size + 1) / 2));
+  half_.Renew(now, HalfHeardUntil(members_));
+  previous_half_.Renew(now, HalfHeardUntil(previous_));
 }
 
 }  // namespace bluebell::fleet
--- a/packages/fleet/contact_tracker.h
+++ b/packages/fleet/contact_tracker.h
@@ -27,14 +27,6 @@
   clock::time_point until_;
 };
 
-/// Which part of the members a host must have heard.
-enum class quorum {
-  /// More than half of the members.
-  kMajority,
-  /// At least half, which meets every majority of the same list.
-  kHalf,
-};
-
 /// What this host knows of its own and its peers' contact with the platform
 /// and with each other. Every time is on the clock of this host; callers pass
 /// the present time, because a paused process must not use an old one.
@@ -42,10 +34,11 @@
  public:
   contact_tracker(const fleet_timing& timing, host_id self);
 
-  /// Uses `members` from now on. The windows go on: while the lease clock of a
-  /// holder is stopped, its list is at most one change older than the one in
-  /// use here, so that the majorities overlap at every moment.
-  void SetMembers(std::vector<host_id> members, clock::time_point now);
+  /// Uses a member list and the one that it replaced from now on. The windows
+  /// go on: while the lease clock of a holder is stopped, the holder uses one
+  /// of the two lists that are in use here.
+  void SetMembers(std::vector<host_id> members, std::vector<host_id> previous,
+                  clock::time_point now);
   /// Starts the windows anew, after the members were reset.
   void ResetWindows(clock::time_point now);
   /// The platform answered a call that was sent at `sent`.
@@ -67,8 +60,10 @@
   bool HeardWithin(const host_id& peer, clock::duration limit,
                    clock::time_point now) const;
   /// Start of the uninterrupted time in which this host read the member list
-  /// from the platform within T and heard the quorum.
-  std::optional<clock::time_point> WindowStart(quorum part,
+  /// from the platform within T and heard at least half of its members, which
+  /// meets every majority. Unless the holder of the lease in question is known
+  /// to use no older list, half of the replaced list is needed as well.
+  std::optional<clock::time_point> WindowStart(bool holder_has_present_list,
                                                clock::time_point now) const;
 
  private:
@@ -78,18 +73,19 @@
   };
 
   bool MajorityVouches(clock::time_point now) const;
-  clock::time_point QuorumUntil(std::size_t needed) const;
+  clock::time_point HalfHeardUntil(const std::vector<host_id>& hosts) const;
   void RenewQuorums(clock::time_point now);
 
   fleet_timing timing_;
   host_id self_;
   std::vector<host_id> members_;
+  std::vector<host_id> previous_;
   std::map<host_id, answer> answers_;
   std::optional<clock::time_point> newest_contact_;
   std::optional<clock::time_point> members_read_;
   evidence_window read_;
-  evidence_window majority_;
   evidence_window half_;
+  evidence_window previous_half_;
 };
 
 }  // namespace bluebell::fleet
--- a/packages/fleet/fleet.cpp
+++ b/packages/fleet/fleet.cpp
@@ -246,7 +246,7 @@
 // callers record the contact with which the list was read first.
 void fleet::impl::AdoptMembers(member_list list) {
   list_ = std::move(list);
-  contact_.SetMembers(list_.members, now());
+  contact_.SetMembers(list_.members, list_.previous, now());
   for (const auto& host : list_.members) {
     if (host != settings_.self) hosts_[host].noticed = now();
   }
@@ -258,7 +258,7 @@
 // An operator removed the object to form the fleet anew.
 void fleet::impl::ResetMembers() {
   list_ = {};
-  contact_.SetMembers({}, now());
+  contact_.SetMembers({}, {}, now());
   contact_.ResetWindows(now());
 }
 
@@ -309,10 +309,8 @@
           ? &*entry->record
           : nullptr;
   if (record && record->released) return true;
-  // Half of the members suffices if the host cannot use another list.
   const bool same_list = record && record->list_version == list_.version;
-  const auto window = contact_.WindowStart(
-      same_list ? quorum::kHalf : quorum::kMajority, now());
+  const auto window = contact_.WindowStart(same_list, now());
   const auto silent = records_.SilentSince(host, incarnation);
   if (!window || !silent) return false;
   const auto start = std::max(*window, *silent);
--- a/packages/fleet/host_record.cpp
+++ b/packages/fleet/host_record.cpp
@@ -18,6 +18,18 @@
   }
 }
 
+json ToJson(const std::vector<host_id>& hosts) {
+  json names = json::array();
+  for (const auto& host : hosts) names.push_back(host.value());
+  return names;
+}
+
+std::vector<host_id> ParseHosts(const json& names) {
+  std::vector<host_id> hosts;
+  for (const auto& name : names) hosts.emplace_back(name.get<std::string>());
+  return hosts;
+}
+
 }  // namespace
 
 bool member_list::Contains(const host_id& host) const {
@@ -41,9 +53,8 @@
 }
 
 json ToJson(const member_list& list) {
-  json members = json::array();
-  for (const auto& host : list.members) members.push_back(host.value());
-  return {{"members", members}, {"previous", list.previous.value()}};
+  return {{"members", ToJson(list.members)},
+          {"previous", ToJson(list.previous)}};
 }
 
 result<host_addresses> ParseAddresses(const json& value) {
@@ -77,11 +88,9 @@
 result<member_list> ParseMembers(const json& value, revision version) {
   return Parse<member_list>("membership", [&value, version] {
     member_list list;
-    for (const auto& host : value.at("members")) {
-      list.members.emplace_back(host.get<std::string>());
-    }
+    list.members = ParseHosts(value.at("members"));
+    list.previous = ParseHosts(value.at("previous"));
     list.version = version;
-    list.previous = revision(value.at("previous").get<std::uint64_t>());
     return list;
   });
 }
--- a/packages/fleet/host_record.h
+++ b/packages/fleet/host_record.h
@@ -39,8 +39,8 @@
   std::vector<host_id> members;
   /// Version of the object; 0 if there is none.
   revision version;
-  /// Version that this list replaced.
-  revision previous;
+  /// Members of the list that this one replaced.
+  std::vector<host_id> previous;
 
   bool Contains(const host_id& host) const;
 };
--- a/packages/fleet/member_rules.cpp
+++ b/packages/fleet/member_rules.cpp
@@ -45,7 +45,7 @@
   if (!now.records.updated()) return std::nullopt;
   const bool is_member = now.list.Contains(now.self);
   member_list next = now.list;
-  next.previous = now.list.version;
+  next.previous = now.list.members;
   if (!is_member) {
     if (!now.stays) return std::nullopt;
     next.members.push_back(now.self);
--- a/packages/fleet/tests/simulation.h
+++ b/packages/fleet/tests/simulation.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 #include <map>
 #include <memory>
@@ -77,8 +79,12 @@
 /// rules that the packages with rights follow.
 class right_user {
  public:
-  right_user(fleet& view, platform::object_store& store, bool compares_terms)
-      : view_(view), store_(store), compares_terms_(compares_terms) {}
+  right_user(fleet& view, platform::object_store& store, bool compares_terms,
+             int& acquired)
+      : view_(view),
+        store_(store),
+        compares_terms_(compares_terms),
+        acquired_(acquired) {}
 
   /// Whether this host would use the right now.
   bool Uses() {
@@ -89,7 +95,7 @@
   /// Reads the right and takes it over if that is allowed. The write is sent
   /// at once, but may take effect much later.
   void Step() {
-    if (busy_ || !view_.HoldsLease()) return;
+    if (busy_ || Uses() || !view_.HoldsLease()) return;
     busy_ = true;
     store_.Get("right", [this](const result<platform::object>& found) {
       busy_ = false;
@@ -117,13 +123,17 @@
                {{"host", view_.self().value()}, {"incarnation", term.value()}},
                version, [this, term](const platform::write_result& outcome) {
                  busy_ = false;
-                 if (outcome) held_ = term;
+                 if (outcome) {
+                   held_ = term;
+                   ++acquired_;
+                 }
                });
   }
 
   fleet& view_;
   platform::object_store& store_;
   bool compares_terms_;
+  int& acquired_;
   bool busy_ = false;
   std::optional<incarnation_id> held_;
 };
@@ -143,7 +153,9 @@
   };
 
   explicit simulation(const fleet_timing& timing = {}, std::uint64_t seed = 1)
-      : timing_(timing), network_(clock_, seed), platform_(clock_) {}
+      : timing_(timing), network_(clock_, seed), platform_(clock_) {
+    spdlog::set_level(spdlog::level::off);
+  }
 
   host& Start(const std::string& name, std::vector<std::string> seeds = {}) {
     auto& made = hosts_[name];
@@ -168,7 +180,7 @@
     made->view = std::move(*fleet::Create(settings, hooks, *made->store,
                                           *made->network, time, *made->events));
     made->user = std::make_unique<right_user>(*made->view, *made->store,
-                                              compares_terms_);
+                                              compares_terms_, acquired_);
     return *made;
   }
 
@@ -178,6 +190,8 @@
     Kill(name);
     Start(name, std::move(seeds));
   }
+  /// Number of times that any process took the right over.
+  int acquired() const { return acquired_; }
   bool Runs(const std::string& name) const { return hosts_.count(name) != 0; }
 
   host& operator[](const std::string& name) { return *hosts_.at(name); }
@@ -220,12 +234,14 @@
         each->user->Step();
         if (each->user->Uses()) ++users;
       }
-      if (users > 1) ++violations_;
+      if (users > 1 && violations_++ == 0) first_violation_ = clock_.now();
       if (users > 0) ++used_steps_;
     }
   }
 
   int violations() const { return violations_; }
+  /// Time of the first such step, for messages.
+  clock::time_point first_violation() const { return first_violation_; }
   int used_steps() const { return used_steps_; }
 
   std::vector<std::string> Members(const std::string& name) {
@@ -248,7 +264,9 @@
   std::map<std::string, std::unique_ptr<host>> hosts_;
   bool uses_rights_ = false;
   bool compares_terms_ = true;
+  int acquired_ = 0;
   int violations_ = 0;
+  clock::time_point first_violation_;
   int used_steps_ = 0;
 };
 
