Unload removed models, and test takeover of control

A model whose row was removed kept its memory for ever. The controller now unloads targets whose row is a tombstone; targets without any row are left alone, since the configuration of a starting host may be incomplete.

Two tests now show the faults that they guard against: a late order of the previous controller arrives while the first order of the new one is under way, and the host lease is granted again before a woken controller runs.

--- a/packages/placement/controller.cpp
+++ b/packages/placement/controller.cpp
@@ -15,7 +15,7 @@
 constexpr auto kMaxReportAge = std::chrono::seconds(40);
 // Bounds the orders that only confirm a fencing number.
 constexpr int kMaxProbesPerTick = 50;
-// Period of the clean-up of adapters without their model.
+// Period of the clean-up of adapters without their model and of removed rows.
 constexpr auto kStrandedInterval = std::chrono::seconds(5);
 // Room for this many of the largest adapters stays free on each engine.
 constexpr std::int64_t kReservedAdapters = 4;
@@ -118,7 +118,7 @@
   }
   if (clock_.now() >= next_clean_up_) {
     next_clean_up_ = clock_.now() + kStrandedInterval;
-    UnloadStrandedAdapters();
+    UnloadStranded();
   }
   PlaceAdapters();
 }
@@ -212,7 +212,16 @@
 
 bool controller::IsAdapter(const std::string& target) const {
   return rows_.FindModel(model_id(target)) == nullptr &&
-         rows_.FindAdapter(adapter_id(target)) != nullptr;
+         rows_.FindStored("adapters/" + target) != nullptr;
+}
+
+// Whether an operator removed the row of a model or adapter. A target that
+// never had a row, or whose row is not yet known here, is left alone.
+bool controller::IsRemoved(const std::string& target) const {
+  if (rows_.FindModel(model_id(target)) != nullptr) return false;
+  if (rows_.FindAdapter(adapter_id(target)) != nullptr) return false;
+  return rows_.FindStored("models/" + target) != nullptr ||
+         rows_.FindStored("adapters/" + target) != nullptr;
 }
 
 // Makes each engine that checks fencing numbers enforce the number of this
@@ -424,13 +433,18 @@
   EvictAdapters(*chosen, size.value() - ledger_.Free(*chosen).value());
 }
 
-// Unloads adapters whose model is no longer on the engine.
-void controller::UnloadStrandedAdapters() {
+// Unloads adapters whose model is no longer on the engine, and targets whose
+// row was removed.
+void controller::UnloadStranded() {
   std::vector<std::pair<endpoint_id, std::string>> stranded;
   for (const auto& [id, engine] : ledger_.engines()) {
     if (!IsControllable(id)) continue;
     for (const auto& [target, entry] : engine.entries) {
       if (entry.status.state() != residency_state::kResident) continue;
+      if (IsRemoved(target)) {
+        stranded.emplace_back(id, target);
+        continue;
+      }
       const auto* adapter = rows_.FindAdapter(adapter_id(target));
       if (adapter == nullptr || !IsAdapter(target)) continue;
       const auto model = engine.entries.find(adapter->model.value());
--- a/packages/placement/controller.h
+++ b/packages/placement/controller.h
@@ -98,6 +98,7 @@
   bool IsControllable(const endpoint_id& id) const;
   byte_count SizeOf(const std::string& target) const;
   bool IsAdapter(const std::string& target) const;
+  bool IsRemoved(const std::string& target) const;
 
   void ConfirmFences();
   void RepeatOrders();
@@ -108,7 +109,7 @@
   void PlaceAdapters();
   void MakeRoomForAdapter(const std::vector<endpoint_id>& holders,
                           byte_count size);
-  void UnloadStrandedAdapters();
+  void UnloadStranded();
   void EvictAdapters(const endpoint_id& id, std::int64_t bytes);
   std::int64_t EvictableBytes(const endpoint_id& id) const;
   std::vector<std::string> IdleAdapters(const endpoint_id& id) const;
--- a/packages/placement/tests/controller_test.cpp
+++ b/packages/placement/tests/controller_test.cpp
@@ -140,6 +140,8 @@
   clock_.Advance(seconds(30));
   ASSERT_TRUE(hosts_[1]->control.in_control());
   const int before = hosts_[0]->sent;
+  // The host lease is granted again before the controller runs.
+  leases_.Renew(host_id("a"));
   hosts_[0]->gate.Resume();
   clock_.Advance(seconds(30));
   EXPECT_EQ(hosts_[0]->sent, before);
@@ -163,13 +165,18 @@
   fleet_->AddModel("new", 60);
   AddHost("b");
   auto& engine = fleet_->engines.begin()->second;
-  for (int i = 0; i < 10'000 && hosts_[1]->control.fence() == 0; ++i) {
+  // The late order arrives while the first order of the new controller is
+  // under way.
+  for (int i = 0; i < 10'000 && hosts_[1]->sent == 0; ++i) {
     clock_.Advance(milliseconds(1));
   }
   ASSERT_GT(hosts_[1]->control.fence(), late.fence);
   EXPECT_TRUE(fleet_->Apply(engine, late));
   clock_.Advance(seconds(30));
   EXPECT_FALSE(fleet_->Apply(engine, late));
+  // The removed model makes room for the new one.
+  EXPECT_EQ(fleet_->Unreachable(), std::vector<std::string>());
+  EXPECT_FALSE(fleet_->Reachable("old"));
   ExpectNoOvercommit();
 }
 
