--- a/packages/limits/bench/limits_benchmark.cpp
+++ b/packages/limits/bench/limits_benchmark.cpp
@@ -1,6 +1,7 @@
 // Cost of one admission, and of the work that admission does at intervals for
 // accounts without traffic.
 #include <benchmark/benchmark.h>
+#include <spdlog/spdlog.h>
 
 #include <string>
 
@@ -116,4 +117,9 @@
 }  // namespace
 }  // namespace bluebell::limits
 
-BENCHMARK_MAIN();
+int main(int argc, char** argv) {
+  spdlog::set_level(spdlog::level::off);
+  benchmark::Initialize(&argc, argv);
+  benchmark::RunSpecifiedBenchmarks();
+  return 0;
+}
