--- a/packages/limits/share_ledger.cpp
+++ b/packages/limits/share_ledger.cpp
@@ -17,6 +17,9 @@
 // fleet view of this host shows that the holder renewed its lease.
 constexpr auto kReclaimDelay = std::chrono::seconds(2);
 
+// Age at which the list of hosts is read again; below the interval of steps.
+constexpr auto kHostsLifetime = std::chrono::milliseconds(100);
+
 const revision kAbsent{platform::object_store::kAbsent};
 
 }  // namespace
@@ -227,15 +230,34 @@
 
 // An equal fraction for each chosen host. A leaving host is not among the
 // hosts that callers may use, so its target is 0.
-int share_ledger::TargetParts(const account_id& account) const {
+int share_ledger::TargetParts(const account_id& account) {
+  ReadHosts();
+  const auto known = targets_.find(account);
+  if (known != targets_.end()) return known->second;
+  const auto holders = ChooseHolders(account, hosts_);
+  const bool chosen =
+      std::find(holders.begin(), holders.end(), fleet_.self()) != holders.end();
+  const int parts =
+      chosen ? kWholeBudget / static_cast<int>(holders.size()) : 0;
+  targets_[account] = parts;
+  return parts;
+}
+
+// Ranking all hosts for each account at each step would take a third of a core
+// with 340 hosts and 1,000 accounts, so targets are kept while the hosts stay
+// the same.
+void share_ledger::ReadHosts() {
+  const auto now = clock_.now();
+  if (hosts_read_ && now - *hosts_read_ < kHostsLifetime) return;
+  hosts_read_ = now;
   std::vector<host_id> hosts;
   for (const auto& each : fleet_.EntryHosts(zone_id())) {
     hosts.push_back(each.id);
   }
-  const auto holders = ChooseHolders(account, std::move(hosts));
-  const bool chosen =
-      std::find(holders.begin(), holders.end(), fleet_.self()) != holders.end();
-  return chosen ? kWholeBudget / static_cast<int>(holders.size()) : 0;
+  std::sort(hosts.begin(), hosts.end());
+  if (hosts == hosts_) return;
+  hosts_ = std::move(hosts);
+  targets_.clear();
 }
 
 // Whether the record may name a share of this incarnation.
--- a/packages/limits/share_ledger.h
+++ b/packages/limits/share_ledger.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "base/clock.h"
 #include "base/event_log.h"
@@ -84,7 +85,8 @@
   void Confirm(const account_id& account, budget& own, int parts,
                std::uint64_t span);
   void SetParts(const account_id& account, budget& own, int parts);
-  int TargetParts(const account_id& account) const;
+  int TargetParts(const account_id& account);
+  void ReadHosts();
   bool HoldsAny(const budget& own) const;
   void LogReclaimed(const account_id& account, const share_record& before,
                     const share_record& after);
@@ -98,6 +100,11 @@
   parts_listener on_parts_;
   lower_check may_lower_;
   std::map<account_id, budget> budgets_;
+  /// Hosts that callers may use, when they were read, and the target parts of
+  /// each account with them.
+  std::vector<host_id> hosts_;
+  std::optional<clock::time_point> hosts_read_;
+  std::map<account_id, int> targets_;
   /// Expires with this object; late answers of the store check it.
   std::shared_ptr<char> alive_ = std::make_shared<char>();
 };
