--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -51,6 +51,11 @@
         self.address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
         started.set()
         self.loop.run_forever()
+        open_tasks = asyncio.all_tasks(self.loop)
+        for task in open_tasks:
+            task.cancel()
+        self.loop.run_until_complete(
+            asyncio.gather(*open_tasks, return_exceptions=True))
 
     async def serve(self, reader, writer):
         try:
