--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -9,11 +9,11 @@
 """
 import argparse
 import asyncio
+import contextlib
 import http.client
 import json
-import os
-import pathlib
 import re
+import socket
 import statistics
 import subprocess
 import sys
@@ -64,8 +64,9 @@
         except OSError:
             writer.close()
             return
-        await asyncio.gather(self.copy(reader, far_writer, True),
-                             self.copy(far_reader, writer, False))
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.gather(self.copy(reader, far_writer, True),
+                                 self.copy(far_reader, writer, False))
 
     async def copy(self, reader, writer, from_host):
         try:
@@ -258,10 +259,23 @@
         "in_force_worst_ms": round(max(force) * 1e3, 1)})
 
 
+def report_bytes(address):
+    """Bytes of one load report with its header."""
+    to = socket.create_connection(address.split(":"), timeout=10)
+    to.sendall(f"GET /v1/load HTTP/1.1\r\nHost: {address}\r\n"
+               "Connection: close\r\n\r\n".encode())
+    total = 0
+    while data := to.recv(READ_BYTES):
+        total += len(data)
+    to.close()
+    return total
+
+
 def measure_engines(site):
     site.start_hosts()
     time.sleep(2)
-    show("engines", site.size, site.measure())
+    show("engines", site.size, {"report_bytes": report_bytes(site.engines[0]),
+                                **site.measure()})
 
 
 def measure_rows(site):
