--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -30,6 +30,7 @@
 EDITS = 20
 KEY = {"Authorization": f"Bearer {bench.OPERATOR_KEY}"}
 READ_BYTES = 65_536
+PARTS = ["fleet", "engines", "endpoints", "rows", "relay"]
 
 
 class CountingRelay:
@@ -88,13 +89,17 @@
 class CapacitySite(bench.Site):
     """Hosts that find all rows at the platform and all models resident."""
 
-    def __init__(self, folder, hosts=4, engines=4, models=15, accounts=5):
+    def __init__(self, folder, hosts=4, engines=4, models=15, accounts=5,
+                 endpoints=None):
         super().__init__(types.SimpleNamespace(
             hosts=hosts, engines=engines, services=0, models=models,
             adapters=0, policy=[], load=1.0), folder)
         self.accounts = accounts
+        # Several endpoint rows may name one engine process.
+        self.endpoints = endpoints or engines
         self.size = {"hosts": hosts, "engines": engines, "models": models,
-                     "accounts": accounts, "seed": SEED}
+                     "accounts": accounts, "endpoints": self.endpoints,
+                     "seed": SEED}
         self.relay = None
 
     def engine_memory(self):
@@ -133,9 +138,10 @@
             rows[f"models/{model}"] = {
                 "id": model, "memory_bytes": bench.MODEL_BYTES,
                 "min_copies": 1}
-        for i, address in enumerate(self.engines):
+        for i in range(self.endpoints):
             rows[f"endpoints/engine-{i}"] = {
-                "id": f"engine-{i}", "address": address,
+                "id": f"engine-{i}",
+                "address": self.engines[i % len(self.engines)],
                 "zone": bench.ZONES[i % 3], "kind": "engine", "group": "",
                 "memory_bytes": self.engine_memory(), "checks_fencing": True,
                 "max_concurrency": 16}
@@ -278,6 +284,13 @@
                                 **site.measure()})
 
 
+def measure_endpoints(site):
+    """Many endpoint rows; one of the hosts controls the placement."""
+    site.start_hosts()
+    time.sleep(2 + site.endpoints / 150)
+    show("endpoints", site.size, {"orders": site.orders(), **site.measure()})
+
+
 def measure_rows(site):
     """Start-up of one host at a platform that holds the rows."""
     def ready():
@@ -389,17 +402,20 @@
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--part", action="append",
-                        choices=["fleet", "engines", "rows", "relay"])
+                        choices=PARTS)
     parser.add_argument("--hosts", type=int, nargs="*",
                         default=[2, 4, 8, 16], help="sizes of part fleet")
     options = parser.parse_args()
-    parts = options.part or ["fleet", "engines", "rows", "relay"]
+    parts = options.part or PARTS
     if "fleet" in parts:
         for hosts in options.hosts:
             with_site(measure_fleet, hosts=hosts)
     if "engines" in parts:
         for engines in (4, 12, 48):
             with_site(measure_engines, engines=engines)
+    if "endpoints" in parts:
+        for endpoints in (48, 350, 3500):
+            with_site(measure_endpoints, hosts=2, endpoints=endpoints)
     if "rows" in parts:
         for models, accounts in ((15, 5), (150, 5), (1400, 5), (15, 50)):
             with_site(measure_rows, hosts=1, models=models, accounts=accounts)
