--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -250,10 +250,14 @@
 
 
 def measure_fleet(site):
+    before = site.counters()
     joined = site.start_hosts()
+    after = site.counters()
     time.sleep(2)
-    show("fleet", site.size, {"join_all_s": round(joined, 1),
-                              **site.measure()})
+    show("fleet", site.size, {
+        "join_all_s": round(joined, 1),
+        "join_puts": after["puts"] - before["puts"],
+        "join_lists": after["lists"] - before["lists"], **site.measure()})
     site.edited = 0
     times = [time_edit(site, i) for i in range(EDITS)]
     accept, force = zip(*times)
