--- a/packages/bench/load_result.cpp
+++ b/packages/bench/load_result.cpp
@@ -38,6 +38,7 @@
 
 void account_result::Add(const request_outcome& outcome) {
   ++sent;
+  if (outcome.admissible) ++admissible;
   tokens += static_cast<std::uint64_t>(outcome.tokens);
   if (outcome.complete) {
     ++completed;
@@ -51,7 +52,7 @@
   ++codes[outcome.code.empty() ? "transport" : outcome.code];
   if (outcome.code == "rate_exceeded") {
     ++refused_rate;
-    if (outcome.wrongful) ++refused_wrongfully;
+    if (outcome.admissible) ++refused_wrongfully;
   } else {
     ++failed;
   }
@@ -63,6 +64,7 @@
           {"attained", attained},
           {"refused_rate", refused_rate},
           {"refused_wrongfully", refused_wrongfully},
+          {"admissible", admissible},
           {"failed", failed},
           {"tokens", tokens},
           {"first_token_ms",
--- a/packages/bench/load_result.h
+++ b/packages/bench/load_result.h
@@ -38,7 +38,8 @@
   double first_token_s = 0;
   /// Mean time between tokens.
   double token_gap_s = 0;
-  bool wrongful = false;
+  /// Whether the reference bucket admitted the request.
+  bool admissible = false;
 };
 
 /// Figures of one client account.
@@ -48,6 +49,8 @@
   std::uint64_t attained = 0;
   std::uint64_t refused_rate = 0;
   std::uint64_t refused_wrongfully = 0;
+  /// Requests that the reference bucket admitted.
+  std::uint64_t admissible = 0;
   std::uint64_t failed = 0;
   std::uint64_t tokens = 0;
   std::vector<double> first_token_s;
--- a/packages/bench/load_run.cpp
+++ b/packages/bench/load_run.cpp
@@ -113,6 +113,7 @@
     if (admissible) bucket.Charge(SecondsSince(start_), cost);
 
     request_outcome outcome;
+    outcome.admissible = admissible;
     const auto connection = Connect(request, yield);
     if (!connection || !connection->Send(ToHttp(request), kAnswerTime, yield)) {
       return outcome;
@@ -124,7 +125,6 @@
       TakeStream(*connection, sent_at, outcome, yield);
       return outcome;
     }
-    outcome.wrongful = admissible;
     const auto body = connection->ReadRest(kProblemBytes, kAnswerTime, yield);
     if (body) {
       const auto problem = nlohmann::json::parse(*body, nullptr, false);
--- a/scripts/bench.py
+++ b/scripts/bench.py
@@ -350,6 +350,7 @@
                 "attainment": f"{attainment(figures):.4f}",
                 "refused_rate": figures["refused_rate"],
                 "wrongful": figures["refused_wrongfully"],
+                "admissible": figures["admissible"],
                 "failed": figures["failed"],
                 "first_p50_ms": f"{figures['first_token_ms']['p50']:.1f}",
                 "first_p95_ms": f"{figures['first_token_ms']['p95']:.1f}",
