--- /dev/null
+++ b/packages/daemon/tests/fault_site.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "test_processes.h"
+
+namespace bluebell::daemon {
+
+std::string Bearer(const std::string& key);
+std::string OrderBody(const std::string& order);
+std::string CompletionBody(const std::string& model, int max_tokens,
+                           bool stream = false,
+                           const std::string& prompt = "carve a rose");
+
+/// A connection of a caller that stays open between requests.
+class caller_connection {
+ public:
+  explicit caller_connection(const std::string& address);
+
+  bool connected() const { return connected_; }
+  /// Sends one request without waiting for its answer.
+  void Send(const std::string& method, const std::string& target,
+            const std::string& body, const std::vector<std::string>& fields);
+  /// Reads the next answer, which must have a Content-Length; the status is 0
+  /// after `limit` or if the connection ended.
+  http_reply Read(std::chrono::milliseconds limit = std::chrono::seconds(20));
+  void Close();
+
+ private:
+  std::string address_;
+  boost::asio::io_context context_;
+  boost::asio::ip::tcp::socket socket_{context_};
+  bool connected_ = false;
+  std::string buffer_;
+};
+
+/// A site of three hosts with the calls that the tests of faults share.
+class fault_site : public test_site {
+ public:
+  /// Starts the platform and `hosts` hosts that know each other, and creates
+  /// the account "ndiaye" with a key.
+  void StartHosts(int hosts = 3);
+  /// Starts the service "orders-0" and creates the route "/orders" to it.
+  void AddOrders(int max_concurrency = 8,
+                 const std::vector<std::string>& options = {});
+
+  http_reply Complete(
+      int host, const std::string& model, int max_tokens = 4,
+      std::chrono::milliseconds limit = std::chrono::seconds(25));
+  http_reply SendOrder(
+      int host, const std::string& order,
+      std::chrono::milliseconds limit = std::chrono::seconds(20));
+
+  void SetFaults(const std::string& address, const nlohmann::json& faults);
+  nlohmann::json Counters(const std::string& id);
+  /// Runs and received requests of an order since the service was started.
+  int Runs(const std::string& order);
+  int Received(const std::string& order);
+  /// Whether the platform holds the idempotency record of an order.
+  bool HasRecord(const std::string& order);
+  std::size_t HostsKnown(int host);
+  /// A gauge of `/metrics`, or -1 if the host does not answer.
+  double Gauge(int host, const std::string& name);
+
+  const std::string& key() const { return key_; }
+
+ private:
+  std::string key_;
+};
+
+}  // namespace bluebell::daemon
--- a/packages/daemon/tests/test_processes.cpp
+++ b/packages/daemon/tests/test_processes.cpp
@@ -7,6 +7,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <boost/asio.hpp>
 #include <filesystem>
 #include <fstream>
@@ -31,11 +32,23 @@
   return std::string(BLUEBELL_BIN_DIR) + "/" + name;
 }
 
-// Returns a loopback address whose port was free a moment ago.
+// Returns a loopback address whose port was free a moment ago. The port is
+// below the range of ephemeral ports, so that no outgoing connection takes it
+// while the process that listens on it is restarted.
 std::string FreeAddress() {
+  constexpr int kFirstPort = 10'000;
+  constexpr int kPorts = 22'000;
+  static std::atomic<int> next{::getpid() * 61};
   asio::io_context context;
-  asio::ip::tcp::acceptor probe(context, {asio::ip::address_v4::loopback(), 0});
-  return "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
+  while (true) {
+    const int port = kFirstPort + next++ % kPorts;
+    asio::ip::tcp::acceptor probe(context, asio::ip::tcp::v4());
+    boost::system::error_code failure;
+    probe.bind(
+        {asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(port)},
+        failure);
+    if (!failure) return "127.0.0.1:" + std::to_string(port);
+  }
 }
 
 std::string Chunks(const std::string& encoded, bool& complete) {
@@ -232,12 +245,15 @@
   }));
 }
 
-void test_site::StartService(const std::string& id) {
+void test_site::StartService(const std::string& id,
+                             const std::vector<std::string>& options) {
   const std::string address =
       state_->addresses.try_emplace(id, FreeAddress()).first->second;
-  state_->endpoints[id] = std::make_unique<child_process>(
-      std::vector<std::string>{Program("standin_service"), "--listen", address},
-      state_->Log(id));
+  std::vector<std::string> arguments = {Program("standin_service"), "--listen",
+                                        address};
+  arguments.insert(arguments.end(), options.begin(), options.end());
+  state_->endpoints[id] =
+      std::make_unique<child_process>(arguments, state_->Log(id));
   ASSERT_TRUE(WaitUntil(
       [address] { return Call(address, "GET", "/admin/runs").status == 200; }));
 }
@@ -298,7 +314,8 @@
                reply.json().value("revision", std::uint64_t{0}));
 }
 
-void test_site::RegisterEngine(const std::string& id, std::int64_t memory) {
+void test_site::RegisterEngine(const std::string& id, std::int64_t memory,
+                               bool checks_fencing) {
   PutRow("endpoints", id,
          {{"id", id},
           {"address", address_of(id)},
@@ -306,12 +323,12 @@
           {"kind", "engine"},
           {"group", ""},
           {"memory_bytes", memory},
-          {"checks_fencing", true},
+          {"checks_fencing", checks_fencing},
           {"max_concurrency", 8}});
 }
 
-void test_site::RegisterService(const std::string& id,
-                                const std::string& group) {
+void test_site::RegisterService(const std::string& id, const std::string& group,
+                                int max_concurrency) {
   PutRow("endpoints", id,
          {{"id", id},
           {"address", address_of(id)},
@@ -320,7 +337,7 @@
           {"group", group},
           {"memory_bytes", 0},
           {"checks_fencing", false},
-          {"max_concurrency", 8}});
+          {"max_concurrency", max_concurrency}});
 }
 
 std::string test_site::AddAccount(const std::string& id, std::int64_t rate,
--- a/packages/daemon/tests/test_processes.h
+++ b/packages/daemon/tests/test_processes.h
@@ -68,7 +68,8 @@
   /// Starts an engine stand-in with `models` ("m:bytes,n:bytes") resident.
   void StartEngine(const std::string& id, const std::string& models,
                    const std::vector<std::string>& options = {});
-  void StartService(const std::string& id);
+  void StartService(const std::string& id,
+                    const std::vector<std::string>& options = {});
   /// Starts host `index` (0 based) in availability zone "z<index>".
   void StartHost(int index);
   /// Starts a host again under its old settings.
@@ -80,8 +81,10 @@
   /// Creates a row through the admin listener of host 0 and waits for it.
   void PutRow(const std::string& table, const std::string& id,
               const nlohmann::json& value);
-  void RegisterEngine(const std::string& id, std::int64_t memory);
-  void RegisterService(const std::string& id, const std::string& group);
+  void RegisterEngine(const std::string& id, std::int64_t memory,
+                      bool checks_fencing = true);
+  void RegisterService(const std::string& id, const std::string& group,
+                       int max_concurrency = 8);
   /// Creates an account and a key for it; returns the key.
   std::string AddAccount(const std::string& id, std::int64_t rate,
                          std::int64_t burst, int priority = 5);
