--- a/packages/daemon/tests/fault_site.cpp
+++ b/packages/daemon/tests/fault_site.cpp
@@ -97,6 +97,7 @@
 
 void fault_site::StartHosts(int hosts) {
   StartPlatform();
+  hosts_ = hosts;
   for (int i = 0; i < hosts; ++i) StartHost(i);
   ASSERT_TRUE(WaitUntil([&] {
     for (int i = 0; i < hosts; ++i) {
@@ -119,6 +120,65 @@
           {"repeatable", false}});
 }
 
+void fault_site::AddEngine(const std::string& id, int zone, std::int64_t memory,
+                           bool checks_fencing,
+                           const std::vector<std::string>& options) {
+  std::vector<std::string> all = {"--memory-bytes", std::to_string(memory)};
+  if (checks_fencing) all.push_back("--checks-fencing");
+  all.insert(all.end(), options.begin(), options.end());
+  StartEngine(id, "", all);
+  PutRow("endpoints", id,
+         {{"id", id},
+          {"address", address_of(id)},
+          {"zone", "z" + std::to_string(zone)},
+          {"kind", "engine"},
+          {"group", ""},
+          {"memory_bytes", memory},
+          {"checks_fencing", checks_fencing},
+          {"max_concurrency", 8}});
+}
+
+void fault_site::AddModel(const std::string& id, std::int64_t memory,
+                          int copies) {
+  PutRow("models", id,
+         {{"id", id}, {"memory_bytes", memory}, {"min_copies", copies}});
+}
+
+http_reply fault_site::Admin(int host, const std::string& method,
+                             const std::string& target, const std::string& body,
+                             std::uint64_t revision) {
+  return Call(admin_address(host), method, target, body,
+              {Bearer(kOperatorKey), "If-Match: " + std::to_string(revision)});
+}
+
+bool fault_site::RemoveRow(const std::string& table, const std::string& id) {
+  const std::string target = "/admin/v1/config/" + table + "/" + id;
+  return WaitUntil([&] {
+    for (int host = 0; host < hosts_; ++host) {
+      const auto row = Admin(host, "GET", target);
+      if (row.status != 200) continue;
+      const auto revision = row.json().value("revision", std::uint64_t{0});
+      const auto removed = Admin(host, "DELETE", target, "", revision);
+      if (removed.status >= 200 && removed.status < 300) return true;
+    }
+    return false;
+  });
+}
+
+int fault_site::Controller() {
+  for (int host = 0; host < hosts_; ++host) {
+    const auto status = Call(admin_address(host), "GET", "/admin/v1/status", "",
+                             {Bearer(kOperatorKey)}, milliseconds(1500))
+                            .json();
+    if (status.is_object() &&
+        status.dump().find("\"controls_placement\":true") !=
+            std::string::npos) {
+      return host;
+    }
+  }
+  return -1;
+}
+
 http_reply fault_site::Complete(int host, const std::string& model,
                                 int max_tokens, milliseconds limit) {
   return Call(host_address(host), "POST", "/v1/completions",
--- a/packages/daemon/tests/fault_site.h
+++ b/packages/daemon/tests/fault_site.h
@@ -49,6 +49,20 @@
   void AddOrders(int max_concurrency = 8,
                  const std::vector<std::string>& options = {});
 
+  /// Starts an engine without models and registers it in "z<zone>".
+  void AddEngine(const std::string& id, int zone, std::int64_t memory,
+                 bool checks_fencing,
+                 const std::vector<std::string>& options = {});
+  void AddModel(const std::string& id, std::int64_t memory, int copies = 1);
+  /// Calls the admin listener of a host with the operator key.
+  http_reply Admin(int host, const std::string& method,
+                   const std::string& target, const std::string& body = "",
+                   std::uint64_t revision = 0);
+  /// Removes a row, again after each conflict.
+  bool RemoveRow(const std::string& table, const std::string& id);
+  /// Index of the host that controls the placement, or -1.
+  int Controller();
+
   http_reply Complete(
       int host, const std::string& model, int max_tokens = 4,
       std::chrono::milliseconds limit = std::chrono::seconds(25));
@@ -71,6 +85,7 @@
 
  private:
   std::string key_;
+  int hosts_ = 0;
 };
 
 }  // namespace bluebell::daemon
--- a/packages/daemon/tests/test_processes.cpp
+++ b/packages/daemon/tests/test_processes.cpp
@@ -25,7 +25,6 @@
 
 namespace {
 
-constexpr char kOperatorKey[] = "operator-key-of-the-test";
 constexpr milliseconds kPollInterval{20};
 
 std::string Program(const std::string& name) {
@@ -236,7 +235,10 @@
   auto [entry, created] = state_->addresses.try_emplace(id);
   if (created) entry->second = FreeAddress();
   std::vector<std::string> arguments = {Program("standin_engine"), "--listen",
-                                        entry->second, "--models", models};
+                                        entry->second};
+  if (!models.empty()) {
+    arguments.insert(arguments.end(), {"--models", models});
+  }
   arguments.insert(arguments.end(), options.begin(), options.end());
   state_->endpoints[id] =
       std::make_unique<child_process>(arguments, state_->Log(id));
@@ -386,6 +388,9 @@
 std::string test_site::platform_address() const {
   return state_->platform_address;
 }
+std::string test_site::log_file(const std::string& id) const {
+  return state_->Log(id);
+}
 child_process& test_site::host(int index) {
   return *state_->hosts.at(index).process;
 }
--- a/packages/daemon/tests/test_processes.h
+++ b/packages/daemon/tests/test_processes.h
@@ -11,6 +11,9 @@
 
 namespace bluebell::daemon {
 
+/// Key that the hosts of a test site take from operators.
+inline constexpr char kOperatorKey[] = "operator-key-of-the-test";
+
 /// A child process of the test; killed when the object is destroyed.
 class child_process {
  public:
@@ -95,6 +98,8 @@
   std::string admin_address(int index) const;
   std::string address_of(const std::string& id) const;
   std::string platform_address() const;
+  /// Output of a process, by "host-<index>" or endpoint id.
+  std::string log_file(const std::string& id) const;
   child_process& host(int index);
   child_process& endpoint(const std::string& id);
   child_process& platform();
