--- a/packages/daemon/tests/test_processes.cpp
+++ b/packages/daemon/tests/test_processes.cpp
@@ -7,6 +7,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <boost/asio.hpp>
 #include <filesystem>
 #include <fstream>
@@ -24,18 +25,29 @@
 
 namespace {
 
-constexpr char kOperatorKey[] = "operator-key-of-the-test";
 constexpr milliseconds kPollInterval{20};
 
 std::string Program(const std::string& name) {
   return std::string(BLUEBELL_BIN_DIR) + "/" + name;
 }
 
-// Returns a loopback address whose port was free a moment ago.
+// Returns a loopback address whose port was free a moment ago. The port is
+// below the range of ephemeral ports, so that no outgoing connection takes it
+// while the process that listens on it is restarted.
 std::string FreeAddress() {
+  constexpr int kFirstPort = 10'000;
+  constexpr int kPorts = 22'000;
+  static std::atomic<int> next{::getpid() * 61};
   asio::io_context context;
-  asio::ip::tcp::acceptor probe(context, {asio::ip::address_v4::loopback(), 0});
-  return "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
+  while (true) {
+    const int port = kFirstPort + next++ % kPorts;
+    asio::ip::tcp::acceptor probe(context, asio::ip::tcp::v4());
+    boost::system::error_code failure;
+    probe.bind(
+        {asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(port)},
+        failure);
+    if (!failure) return "127.0.0.1:" + std::to_string(port);
+  }
 }
 
 std::string Chunks(const std::string& encoded, bool& complete) {
@@ -223,7 +235,10 @@
   auto [entry, created] = state_->addresses.try_emplace(id);
   if (created) entry->second = FreeAddress();
   std::vector<std::string> arguments = {Program("standin_engine"), "--listen",
-                                        entry->second, "--models", models};
+                                        entry->second};
+  if (!models.empty()) {
+    arguments.insert(arguments.end(), {"--models", models});
+  }
   arguments.insert(arguments.end(), options.begin(), options.end());
   state_->endpoints[id] =
       std::make_unique<child_process>(arguments, state_->Log(id));
@@ -232,12 +247,15 @@
   }));
 }
 
-void test_site::StartService(const std::string& id) {
+void test_site::StartService(const std::string& id,
+                             const std::vector<std::string>& options) {
   const std::string address =
       state_->addresses.try_emplace(id, FreeAddress()).first->second;
-  state_->endpoints[id] = std::make_unique<child_process>(
-      std::vector<std::string>{Program("standin_service"), "--listen", address},
-      state_->Log(id));
+  std::vector<std::string> arguments = {Program("standin_service"), "--listen",
+                                        address};
+  arguments.insert(arguments.end(), options.begin(), options.end());
+  state_->endpoints[id] =
+      std::make_unique<child_process>(arguments, state_->Log(id));
   ASSERT_TRUE(WaitUntil(
       [address] { return Call(address, "GET", "/admin/runs").status == 200; }));
 }
@@ -298,7 +316,8 @@
                reply.json().value("revision", std::uint64_t{0}));
 }
 
-void test_site::RegisterEngine(const std::string& id, std::int64_t memory) {
+void test_site::RegisterEngine(const std::string& id, std::int64_t memory,
+                               bool checks_fencing) {
   PutRow("endpoints", id,
          {{"id", id},
           {"address", address_of(id)},
@@ -306,12 +325,12 @@
           {"kind", "engine"},
           {"group", ""},
           {"memory_bytes", memory},
-          {"checks_fencing", true},
+          {"checks_fencing", checks_fencing},
           {"max_concurrency", 8}});
 }
 
-void test_site::RegisterService(const std::string& id,
-                                const std::string& group) {
+void test_site::RegisterService(const std::string& id, const std::string& group,
+                                int max_concurrency) {
   PutRow("endpoints", id,
          {{"id", id},
           {"address", address_of(id)},
@@ -320,7 +339,7 @@
           {"group", group},
           {"memory_bytes", 0},
           {"checks_fencing", false},
-          {"max_concurrency", 8}});
+          {"max_concurrency", max_concurrency}});
 }
 
 std::string test_site::AddAccount(const std::string& id, std::int64_t rate,
@@ -369,6 +388,9 @@
 std::string test_site::platform_address() const {
   return state_->platform_address;
 }
+std::string test_site::log_file(const std::string& id) const {
+  return state_->Log(id);
+}
 child_process& test_site::host(int index) {
   return *state_->hosts.at(index).process;
 }
--- a/packages/daemon/tests/test_processes.h
+++ b/packages/daemon/tests/test_processes.h
@@ -11,6 +11,9 @@
 
 namespace bluebell::daemon {
 
+/// Key that the hosts of a test site take from operators.
+inline constexpr char kOperatorKey[] = "operator-key-of-the-test";
+
 /// A child process of the test; killed when the object is destroyed.
 class child_process {
  public:
@@ -68,7 +71,8 @@
   /// Starts an engine stand-in with `models` ("m:bytes,n:bytes") resident.
   void StartEngine(const std::string& id, const std::string& models,
                    const std::vector<std::string>& options = {});
-  void StartService(const std::string& id);
+  void StartService(const std::string& id,
+                    const std::vector<std::string>& options = {});
   /// Starts host `index` (0 based) in availability zone "z<index>".
   void StartHost(int index);
   /// Starts a host again under its old settings.
@@ -80,8 +84,10 @@
   /// Creates a row through the admin listener of host 0 and waits for it.
   void PutRow(const std::string& table, const std::string& id,
               const nlohmann::json& value);
-  void RegisterEngine(const std::string& id, std::int64_t memory);
-  void RegisterService(const std::string& id, const std::string& group);
+  void RegisterEngine(const std::string& id, std::int64_t memory,
+                      bool checks_fencing = true);
+  void RegisterService(const std::string& id, const std::string& group,
+                       int max_concurrency = 8);
   /// Creates an account and a key for it; returns the key.
   std::string AddAccount(const std::string& id, std::int64_t rate,
                          std::int64_t burst, int priority = 5);
@@ -92,6 +98,8 @@
   std::string admin_address(int index) const;
   std::string address_of(const std::string& id) const;
   std::string platform_address() const;
+  /// Output of a process, by "host-<index>" or endpoint id.
+  std::string log_file(const std::string& id) const;
   child_process& host(int index);
   child_process& endpoint(const std::string& id);
   child_process& platform();
