--- a/packages/idempotency/record_deduplicator.cpp
+++ b/packages/idempotency/record_deduplicator.cpp
@@ -157,7 +157,9 @@
     return;
   }
   Refuse(current, problem_code::kPlatformUnavailable,
-         "the platform did not confirm the record in time", executed::kNo);
+         "the platform did not confirm the record in time; this request was "
+         "not run, but an earlier one with the same key may have been",
+         executed::kNo);
 }
 
 // Lets a repeat wait for the request that is in progress on this host.
