Parse addresses and guard JSON parsing in one place; own ports per test process

IPv4:port was parsed in six places and the JSON guard stood twice; both are in base now.

Cause: test processes that run side by side chose ports from ranges that overlap. Each process now claims a block of ports while it runs. Ruled out: outgoing connections, whose range is elsewhere. A first mend that probed each port failed too, because a child process that started meanwhile inherited the probing socket; children now inherit no sockets and ports are not probed.

--- a/packages/base/settings.cpp
+++ b/packages/base/settings.cpp
@@ -4,17 +4,16 @@
 
 #include <algorithm>
 #include <boost/algorithm/string.hpp>
-#include <boost/asio/ip/address_v4.hpp>
 #include <boost/property_tree/ini_parser.hpp>
 #include <boost/property_tree/ptree.hpp>
 #include <charconv>
 #include <optional>
 
+#include "base/address.h"
+
 namespace bluebell {
 namespace {
 
-constexpr std::int64_t kMaxPort = 65535;
-
 std::optional<std::int64_t> ParseInteger(const std::string& text) {
   std::int64_t value = 0;
   const char* end = text.data() + text.size();
@@ -23,15 +22,6 @@
   return value;
 }
 
-bool IsAddress(const std::string& text) {
-  const auto colon = text.rfind(':');
-  if (colon == std::string::npos) return false;
-  boost::system::error_code failure;
-  boost::asio::ip::make_address_v4(text.substr(0, colon), failure);
-  const auto port = ParseInteger(text.substr(colon + 1));
-  return !failure && port && *port > 0 && *port <= kMaxPort;
-}
-
 // Describes the values that a rule admits, for error messages.
 std::string Allowed(const setting_rule& rule) {
   switch (rule.type) {
--- a/packages/config/rows.cpp
+++ b/packages/config/rows.cpp
@@ -4,10 +4,10 @@
 
 #include <algorithm>
 #include <boost/asio/ip/address_v4.hpp>
-#include <boost/lexical_cast.hpp>
 #include <limits>
 #include <optional>
 
+#include "base/address.h"
 #include "config/row_names.h"
 
 namespace bluebell::config {
@@ -39,19 +39,6 @@
   return text.empty() || IsName(text);
 }
 
-bool IsAddress(const std::string& text) {
-  const auto colon = text.rfind(':');
-  if (colon == std::string::npos) return false;
-  boost::system::error_code failure;
-  boost::asio::ip::make_address_v4(text.substr(0, colon), failure);
-  std::uint16_t port = 0;
-  const std::string digits = text.substr(colon + 1);
-  return !failure &&
-         std::all_of(digits.begin(), digits.end(),
-                     [](char c) { return c >= '0' && c <= '9'; }) &&
-         boost::conversion::try_lexical_convert(digits, port) && port > 0;
-}
-
 bool IsPrefix(const std::string& text) {
   if (text.empty() || text.size() > kMaxTextLength || text[0] != '/') {
     return false;
--- a/packages/daemon/tests/test_processes.cpp
+++ b/packages/daemon/tests/test_processes.cpp
@@ -31,23 +31,52 @@
   return std::string(BLUEBELL_BIN_DIR) + "/" + name;
 }
 
-// Returns a loopback address whose port was free a moment ago. The port is
-// below the range of ephemeral ports, so that no outgoing connection takes it
-// while the process that listens on it is restarted.
-std::string FreeAddress() {
-  constexpr int kFirstPort = 10'000;
-  constexpr int kPorts = 22'000;
-  static std::atomic<int> next{::getpid() * 61};
-  asio::io_context context;
-  while (true) {
-    const int port = kFirstPort + next++ % kPorts;
-    asio::ip::tcp::acceptor probe(context, asio::ip::tcp::v4());
+// A block of ports that belongs to this test process while it runs. Listening
+// on the first port of the block keeps other test processes off: without this,
+// one took the port of an engine that another was about to start again.
+class port_block {
+ public:
+  port_block() : marker_(context_) {
+    int block = ::getpid();
+    while (!Claim(block % kBlocks)) ++block;
+  }
+
+  // Returns the next port of the block. It is not probed: a child process that
+  // starts meanwhile would inherit the probing socket and hold the port.
+  int Take() { return first_ + 1 + next_++ % (kBlockSize - 1); }
+
+ private:
+  // All ports are below the range of ephemeral ports, so that no outgoing
+  // connection takes one while its process is restarted.
+  static constexpr int kFirstPort = 10'000;
+  static constexpr int kBlockSize = 400;
+  static constexpr int kBlocks = 55;
+
+  static asio::ip::tcp::endpoint Loopback(int port) {
+    return {asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(port)};
+  }
+
+  bool Claim(int block) {
+    first_ = kFirstPort + block * kBlockSize;
     boost::system::error_code failure;
-    probe.bind(
-        {asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(port)},
-        failure);
-    if (!failure) return "127.0.0.1:" + std::to_string(port);
+    marker_.open(asio::ip::tcp::v4(), failure);
+    ::fcntl(marker_.native_handle(), F_SETFD, FD_CLOEXEC);
+    marker_.bind(Loopback(first_), failure);
+    if (!failure) marker_.listen(1, failure);
+    if (failure) marker_.close();
+    return !failure;
   }
+
+  asio::io_context context_;
+  asio::ip::tcp::acceptor marker_;
+  int first_ = 0;
+  std::atomic<int> next_{0};
+};
+
+// Returns a loopback address of this process's block of ports.
+std::string FreeAddress() {
+  static port_block block;
+  return "127.0.0.1:" + std::to_string(block.Take());
 }
 
 std::string Chunks(const std::string& encoded, bool& complete) {
@@ -78,6 +107,8 @@
   posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log_file.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0600);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  // Inherited sockets would keep connections open that the test has closed.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   std::vector<char*> pointers;
   for (const auto& argument : arguments) {
     pointers.push_back(const_cast<char*>(argument.c_str()));
--- a/packages/gateway/endpoint_connection.cpp
+++ b/packages/gateway/endpoint_connection.cpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <utility>
 
+#include "base/address.h"
 #include "gateway/network.h"
 
 namespace bluebell::gateway {
--- a/packages/gateway/http_server.cpp
+++ b/packages/gateway/http_server.cpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 
+#include "base/address.h"
 #include "gateway/network.h"
 
 namespace bluebell::gateway {
--- a/packages/gateway/network.cpp
+++ b/packages/gateway/network.cpp
@@ -1,7 +1,5 @@
 #include "gateway/network.h"
 
-#include <boost/lexical_cast/try_lexical_convert.hpp>
-#include <cstdint>
 #include <utility>
 
 namespace bluebell::gateway {
@@ -15,21 +13,6 @@
 
 }  // namespace
 
-result<asio::ip::tcp::endpoint> ParseAddress(const std::string& address) {
-  const std::size_t colon = address.rfind(':');
-  if (colon == std::string::npos) {
-    return Fail(error_code::kInvalidArgument, address + " is not IPv4:port");
-  }
-  boost::system::error_code failed;
-  const auto ip = asio::ip::make_address_v4(address.substr(0, colon), failed);
-  std::uint16_t port = 0;
-  if (failed || !boost::conversion::try_lexical_convert(
-                    address.substr(colon + 1), port)) {
-    return Fail(error_code::kInvalidArgument, address + " is not IPv4:port");
-  }
-  return asio::ip::tcp::endpoint(ip, port);
-}
-
 void DisableNagle(asio::ip::tcp::socket& socket) {
   boost::system::error_code ignored;
   socket.set_option(asio::ip::tcp::no_delay(true), ignored);
--- a/packages/gateway/network.h
+++ b/packages/gateway/network.h
@@ -4,15 +4,9 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/spawn.hpp>
 #include <functional>
-#include <string>
-
-#include "base/result.h"
 
 namespace bluebell::gateway {
 
-/// Parses `IPv4:port`; error `kInvalidArgument`.
-result<boost::asio::ip::tcp::endpoint> ParseAddress(const std::string& address);
-
 /// Sends small writes at once, as tokens need.
 void DisableNagle(boost::asio::ip::tcp::socket& socket);
 
--- a/packages/idempotency/record.cpp
+++ b/packages/idempotency/record.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "base/digest.h"
+#include "base/json_guard.h"
 
 namespace bluebell::idempotency {
 namespace {
@@ -82,17 +83,6 @@
   return answer;
 }
 
-// Runs `parse` and turns its exceptions into an error.
-template <class Parse>
-auto Guarded(const char* what, Parse parse) -> result<decltype(parse())> {
-  try {
-    return parse();
-  } catch (const std::exception& fault) {
-    return Fail(error_code::kInvalidArgument,
-                std::string(what) + ": " + fault.what());
-  }
-}
-
 }  // namespace
 
 json ToJson(const record& value) {
@@ -107,7 +97,7 @@
 }
 
 result<record> ParseRecord(const json& value) {
-  return Guarded("idempotency record", [&] {
+  return GuardParse("idempotency record", [&] {
     record parsed;
     parsed.digest = value.at("digest").get<std::string>();
     parsed.host = host_id(value.at("host").get<std::string>());
@@ -133,7 +123,7 @@
 }
 
 result<record_query> ParseRecordQuery(const json& value) {
-  return Guarded(record_query::kType, [&] {
+  return GuardParse(record_query::kType, [&] {
     return record_query{
         incarnation_id(value.at("incarnation").get<std::string>()),
         value.at("attempt").get<std::string>()};
@@ -145,7 +135,7 @@
 }
 
 result<record_query_answer> ParseRecordQueryAnswer(const json& value) {
-  return Guarded(record_query::kType, [&] {
+  return GuardParse(record_query::kType, [&] {
     return record_query_answer{value.at("never_dispatched").get<bool>()};
   });
 }
--- a/packages/limits/loan_messages.cpp
+++ b/packages/limits/loan_messages.cpp
@@ -2,6 +2,8 @@
 
 #include <stdexcept>
 
+#include "base/json_guard.h"
+
 namespace bluebell::limits {
 namespace {
 
@@ -15,17 +17,6 @@
   return number;
 }
 
-// Runs `parse` and turns its exceptions into an error.
-template <class Parse>
-auto Guarded(const char* what, Parse parse) -> result<decltype(parse())> {
-  try {
-    return parse();
-  } catch (const std::exception& fault) {
-    return Fail(error_code::kInvalidArgument,
-                std::string(what) + ": " + fault.what());
-  }
-}
-
 }  // namespace
 
 json ToJson(const loan_request& value) {
@@ -45,7 +36,7 @@
 }
 
 result<loan_request> ParseLoanRequest(const json& value) {
-  return Guarded(loan_request::kType, [&] {
+  return GuardParse(loan_request::kType, [&] {
     return loan_request{
         account_id(value.at("account").get<std::string>()),
         token_count(NotNegative(value, "tokens")),
@@ -54,7 +45,7 @@
 }
 
 result<loan_offer> ParseLoanOffer(const json& value) {
-  return Guarded("loan_offer", [&] {
+  return GuardParse("loan_offer", [&] {
     return loan_offer{value.at("loan").get<std::string>(),
                       token_count(NotNegative(value, "tokens")),
                       token_count(NotNegative(value, "left"))};
@@ -62,7 +53,7 @@
 }
 
 result<loan_settle> ParseLoanSettle(const json& value) {
-  return Guarded(loan_settle::kType, [&] {
+  return GuardParse(loan_settle::kType, [&] {
     return loan_settle{value.at("loan").get<std::string>(),
                        token_count(NotNegative(value, "used"))};
   });
--- a/packages/peer/websocket_peer_network.cpp
+++ b/packages/peer/websocket_peer_network.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
-#include <charconv>
 #include <deque>
 #include <map>
 #include <optional>
@@ -13,6 +12,7 @@
 #include <websocketpp/config/asio_no_tls_client.hpp>
 #include <websocketpp/server.hpp>
 
+#include "base/address.h"
 #include "peer/frame.h"
 
 namespace bluebell::peer {
@@ -61,24 +61,6 @@
   endpoint.init_asio(&context);
 }
 
-result<tcp::endpoint> ParseAddress(const std::string& text) {
-  const auto invalid = [&text] {
-    return Fail(bluebell::error_code::kInvalidArgument,
-                "'" + text + "' is not of the form IPv4:port");
-  };
-  const auto colon = text.find(':');
-  if (colon == std::string::npos) return invalid();
-  error_code failure;
-  const auto ip =
-      boost::asio::ip::make_address_v4(text.substr(0, colon), failure);
-  if (failure) return invalid();
-  std::uint16_t port = 0;
-  const char* const end = text.data() + text.size();
-  const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
-  if (parsed.ec != std::errc() || parsed.ptr != end) return invalid();
-  return tcp::endpoint(ip, port);
-}
-
 template <class Connection>
 void SetNoDelay(const Connection& connection) {
   error_code ignored;
--- a/packages/platform/http_object_store.cpp
+++ b/packages/platform/http_object_store.cpp
@@ -8,11 +8,12 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <cctype>
-#include <charconv>
 #include <deque>
 #include <set>
 #include <utility>
 
+#include "base/address.h"
+
 namespace bluebell::platform {
 namespace {
 
@@ -43,21 +44,6 @@
 
 using call_outcome = tl::expected<answer, call_failure>;
 
-result<tcp::endpoint> ParseAddress(const std::string& text) {
-  const auto colon = text.rfind(':');
-  error_code failure;
-  unsigned short port = 0;
-  if (colon != std::string::npos) {
-    const auto ip = asio::ip::make_address_v4(text.substr(0, colon), failure);
-    const char* end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
-    if (!failure && parsed.ptr == end && port != 0) {
-      return tcp::endpoint(ip, port);
-    }
-  }
-  return Fail(failure_code::kInvalidArgument, "not IPv4:port: " + text);
-}
-
 // Percent-encodes all but unreserved characters and "/".
 std::string Encode(const std::string& text) {
   static const char* const kDigits = "0123456789ABCDEF";
@@ -424,6 +410,9 @@
   for (const auto& address : state->options.addresses) {
     auto endpoint = ParseAddress(address);
     if (!endpoint) return tl::unexpected<error>(endpoint.error());
+    if (endpoint->port() == 0) {
+      return Fail(failure_code::kInvalidArgument, address + " has no port");
+    }
     state->endpoints.push_back(*endpoint);
   }
   if (state->endpoints.empty()) {
--- a/packages/standins/http_server.cpp
+++ b/packages/standins/http_server.cpp
@@ -11,6 +11,8 @@
 #include <optional>
 #include <set>
 
+#include "base/address.h"
+
 namespace bluebell::standins {
 namespace {
 
@@ -331,19 +333,13 @@
 http_server::~http_server() { Stop(); }
 
 result<std::string> http_server::Listen(const std::string& address) {
-  const auto colon = address.rfind(':');
+  const auto parsed = ParseAddress(address);
+  if (!parsed) return tl::unexpected<error>(parsed.error());
   error_code failure;
-  unsigned short port = 0;
-  const auto ip = asio::ip::make_address_v4(address.substr(0, colon), failure);
-  const char* end = address.data() + address.size();
-  if (failure || colon == std::string::npos ||
-      std::from_chars(address.data() + colon + 1, end, port).ptr != end) {
-    return Fail(bluebell::error_code::kInvalidArgument, address);
-  }
   auto& acceptor = state_->acceptor;
   acceptor.open(tcp::v4(), failure);
   if (!failure) acceptor.set_option(tcp::acceptor::reuse_address(true));
-  if (!failure) acceptor.bind(tcp::endpoint(ip, port), failure);
+  if (!failure) acceptor.bind(*parsed, failure);
   if (!failure)
     acceptor.listen(asio::socket_base::max_listen_connections, failure);
   if (failure) {
@@ -352,7 +348,7 @@
     return Fail(bluebell::error_code::kUnavailable, failure.message());
   }
   state_->Accept();
-  return ip.to_string() + ":" +
+  return parsed->address().to_string() + ":" +
          std::to_string(acceptor.local_endpoint().port());
 }
 
