Skip empty demand reports; remove codes and events that nothing uses

Hosts without control sent a report twice a second even when it was empty, 1,360 messages a second with their answers at 340 hosts (docs/CAPACITY.md). One empty report still tells that nothing waits any longer.

--- a/packages/base/events.cpp
+++ b/packages/base/events.cpp
@@ -12,14 +12,10 @@
       // 100-199: process and settings
       {id::kHostStarted, level::kInfo, "host_started",
        "The process listens for callers"},
-      {id::kHostReady, level::kInfo, "host_ready",
-       "The host has a configuration and accepts requests"},
       {id::kDrainStarted, level::kInfo, "drain_started",
        "The host is leaving and waits for open requests"},
       {id::kDrainFinished, level::kInfo, "drain_finished",
        "The last open request ended"},
-      {id::kSettingsInvalid, level::kError, "settings_invalid",
-       "The settings file has errors"},
 
       // 200-299: platform and configuration
       {id::kConfigComplete, level::kInfo, "config_complete",
--- a/packages/base/events.h
+++ b/packages/base/events.h
@@ -9,10 +9,8 @@
 enum class event_id : int {
   // 100-199: process and settings
   kHostStarted = 100,
-  kHostReady = 101,
   kDrainStarted = 102,
   kDrainFinished = 103,
-  kSettingsInvalid = 104,
 
   // 200-299: platform and configuration
   kConfigComplete = 250,
--- a/packages/base/problem.cpp
+++ b/packages/base/problem.cpp
@@ -57,8 +57,6 @@
        {"platform_unavailable", 503, "The platform did not confirm in time"}},
       {code::kHostIsolated,
        {"host_isolated", 503, "This host is cut off from the fleet"}},
-      {code::kHostDraining,
-       {"host_draining", 503, "This host is shutting down"}},
       {code::kNotReady, {"not_ready", 503, "This host is not ready yet"}},
       {code::kRevisionConflict,
        {"revision_conflict", 409, "The row was changed by another edit"}},
--- a/packages/base/problem.h
+++ b/packages/base/problem.h
@@ -32,7 +32,6 @@
   kAnswerIncomplete,
   kPlatformUnavailable,
   kHostIsolated,
-  kHostDraining,
   kNotReady,
   kRevisionConflict,
   kInvalidRow,
--- a/packages/daemon/demand_exchange.cpp
+++ b/packages/daemon/demand_exchange.cpp
@@ -104,18 +104,24 @@
 }
 
 void demand_exchange::Report() {
-  const auto waiting = scheduler_.WaitingTargets();
-  if (controller_.in_control()) {
-    controller_.OnDemand(fleet_.self(), scheduler_.TakeDemand(), waiting);
-    return;
-  }
   // Demand stays with the scheduler until a controller is known.
-  if (controller_host_ == host_id() || controller_host_ == fleet_.self()) {
+  const bool controls = controller_.in_control();
+  const bool unknown =
+      controller_host_ == host_id() || controller_host_ == fleet_.self();
+  if (!controls && unknown) return;
+  const auto waiting = scheduler_.WaitingTargets();
+  const auto demand = scheduler_.TakeDemand();
+  if (controls) {
+    controller_.OnDemand(fleet_.self(), demand, waiting);
     return;
   }
-  peers_.Request(controller_host_, kReport,
-                 ToJson(scheduler_.TakeDemand(), waiting), kReportTimeout,
-                 [](const result<nlohmann::json>&) {});
+  // One empty report tells that nothing waits any longer; further ones would
+  // cost the controller of 340 hosts 1,360 messages a second.
+  const bool quiet = demand.empty() && waiting.empty();
+  if (quiet && was_quiet_) return;
+  was_quiet_ = quiet;
+  peers_.Request(controller_host_, kReport, ToJson(demand, waiting),
+                 kReportTimeout, [](const result<nlohmann::json>&) {});
 }
 
 }  // namespace bluebell::daemon
--- a/packages/daemon/demand_exchange.h
+++ b/packages/daemon/demand_exchange.h
@@ -38,6 +38,8 @@
   /// Host that held the controller lease when it was last read.
   host_id controller_host_;
   int ticks_ = 0;
+  /// Whether the last report was empty.
+  bool was_quiet_ = false;
   timer_handle next_;
   std::shared_ptr<char> alive_ = std::make_shared<char>();
 };
