--- a/packages/daemon/tests/end_to_end_test.cpp
+++ b/packages/daemon/tests/end_to_end_test.cpp
@@ -159,10 +159,11 @@
   }
 }
 
-// Guards against a shutdown that cuts a stream off.
+// Guards against a shutdown that cuts a stream off. The stream takes 13 s, so
+// that it outlasts the 10 s for which a leaving host still accepts.
 TEST_F(end_to_end, GracefulShutdownFinishesOpenStreams) {
   http_reply stream;
-  std::thread caller([&] { stream = Complete(1, 600, true); });
+  std::thread caller([&] { stream = Complete(1, 2600, true); });
   ASSERT_TRUE(WaitUntil([this] {
     return Call(site_.host_address(1), "GET", "/metrics")
                .body.find("bluebell_state{name=\"open_requests\"} 2") !=
