limits: check account and burst in one place

The three admission policies each had the same check of the account's row and of the burst. Behaviour is unchanged.

--- a/packages/limits/fleet_admission.cpp
+++ b/packages/limits/fleet_admission.cpp
@@ -5,6 +5,8 @@
 #include <string>
 #include <utility>
 
+#include "limits/request_check.h"
+
 namespace bluebell::limits {
 namespace {
 
@@ -63,13 +65,9 @@
 
 void fleet_admission::Reserve(const account_id& account, token_count tokens,
                               std::function<void(reserve_result)> done) {
-  const config::account_row* row = rows_.FindAccount(account);
-  if (!row) {
-    done(tl::make_unexpected(admission_refusal::kUnknownAccount));
-    return;
-  }
-  if (tokens > row->burst) {
-    done(tl::make_unexpected(admission_refusal::kExceedsBurst));
+  const auto checked = CheckRequest(rows_, account, tokens);
+  if (!checked) {
+    done(tl::make_unexpected(checked.error()));
     return;
   }
   const std::int64_t wanted = std::max<std::int64_t>(0, tokens.value());
@@ -78,7 +76,7 @@
       ledger_.MaySpend(account) ? own.bucket.Available(clock_.now()) : 0;
   if (available >= static_cast<double>(wanted)) {
     done(Admit(account, wanted, wanted, {}));
-  } else if (IsShort(own, *row, wanted)) {
+  } else if (IsShort(own, **checked, wanted)) {
     done(tl::make_unexpected(admission_refusal::kRateExceeded));
   } else {
     Borrow(account, wanted, available, std::move(done));
--- a/packages/limits/single_owner_admission.cpp
+++ b/packages/limits/single_owner_admission.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/digest.h"
+#include "limits/request_check.h"
 #include "limits/share_record.h"
 
 namespace bluebell::limits {
@@ -106,13 +107,9 @@
 void single_owner_admission::Reserve(const account_id& account,
                                      token_count tokens,
                                      std::function<void(reserve_result)> done) {
-  const config::account_row* row = rows_.FindAccount(account);
-  if (!row) {
-    done(tl::make_unexpected(admission_refusal::kUnknownAccount));
-    return;
-  }
-  if (tokens > row->burst) {
-    done(tl::make_unexpected(admission_refusal::kExceedsBurst));
+  const auto checked = CheckRequest(rows_, account, tokens);
+  if (!checked) {
+    done(tl::make_unexpected(checked.error()));
     return;
   }
   const grant asked{OwnerOf(account), MakeUniqueId()};
--- a/packages/limits/static_split_admission.cpp
+++ b/packages/limits/static_split_admission.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "limits/request_check.h"
+
 namespace bluebell::limits {
 namespace {
 
@@ -36,16 +38,12 @@
 void static_split_admission::Reserve(const account_id& account,
                                      token_count tokens,
                                      std::function<void(reserve_result)> done) {
-  const config::account_row* row = rows_.FindAccount(account);
-  if (!row) {
-    done(tl::make_unexpected(admission_refusal::kUnknownAccount));
-    return;
-  }
-  if (tokens > row->burst) {
-    done(tl::make_unexpected(admission_refusal::kExceedsBurst));
+  const auto checked = CheckRequest(rows_, account, tokens);
+  if (!checked) {
+    done(tl::make_unexpected(checked.error()));
     return;
   }
-  Configure(account, *row);
+  Configure(account, **checked);
   token_bucket& bucket = buckets_.at(account);
   const auto wanted = static_cast<double>(tokens.value());
   if (bucket.Available(clock_.now()) < wanted) {
