--- a/cmake/bluebell_package.cmake
+++ b/cmake/bluebell_package.cmake
@@ -7,7 +7,8 @@
   BOOST_COROUTINES_NO_DEPRECATION_WARNING
   BOOST_ERROR_CODE_HEADER_ONLY
   SPDLOG_FMT_EXTERNAL)
-target_include_directories(bluebell_options INTERFACE ${PROJECT_SOURCE_DIR}/packages)
+target_include_directories(bluebell_options INTERFACE 
+  ${PROJECT_SOURCE_DIR}/packages ${PROJECT_SOURCE_DIR})
 if(BLUEBELL_SANITIZE)
   target_compile_options(bluebell_options INTERFACE
     -fsanitize=address,undefined -fno-sanitize-recover=undefined -fno-omit-frame-pointer)
@@ -15,7 +16,9 @@
 endif()
 target_link_libraries(bluebell_options INTERFACE Threads::Threads)
 
-include(GoogleTest)
+if(BLUEBELL_TESTS)
+  include(GoogleTest)
+endif()
 
 # bluebell_library(<name> [DEPENDS <package>...] [LIBRARIES <library>...]
 #   [TESTS_ONE_BY_ONE])
@@ -36,7 +39,7 @@
   target_link_libraries(bluebell_${name} ${scope}
     bluebell_options ${dependencies} ${ARG_LIBRARIES})
   file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/tests/*.cpp)
-  if(tests)
+  if(tests AND BLUEBELL_TESTS)
     add_executable(${name}_tests ${tests})
     target_link_libraries(${name}_tests PRIVATE
       bluebell_${name} GTest::gmock GTest::gtest_main)
--- a/packages/base/asio_clock.cpp
+++ b/packages/base/asio_clock.cpp
@@ -1,5 +1,7 @@
 #include "base/asio_clock.h"
 
+#include <time.h>
+
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <utility>
@@ -28,8 +30,13 @@
 
 }  // namespace
 
+// CLOCK_BOOTTIME goes on while the machine is suspended; the steady clock does
+// not, so a lease measured by it would outlive a suspended holder.
 clock::time_point asio_clock::now() const {
-  return std::chrono::steady_clock::now();
+  timespec reading{};
+  clock_gettime(CLOCK_BOOTTIME, &reading);
+  return time_point(std::chrono::seconds(reading.tv_sec) +
+                    std::chrono::nanoseconds(reading.tv_nsec));
 }
 
 clock::wall_time_point asio_clock::wall_now() const {
--- a/packages/base/clock.h
+++ b/packages/base/clock.h
@@ -24,7 +24,8 @@
 
   virtual ~clock() = default;
 
-  /// Monotonic time, for every interval and deadline.
+  /// Monotonic time that includes the time a machine was suspended, for every
+  /// interval and deadline.
   virtual time_point now() const = 0;
   /// Calendar time, only for output and the hybrid logical clock.
   virtual wall_time_point wall_now() const = 0;
--- a/packages/config/config_editor.cpp
+++ b/packages/config/config_editor.cpp
@@ -55,7 +55,7 @@
   std::string object_name() const { return kObjectPrefix + name; }
 };
 
-config_editor::config_editor(snapshot& in_force, platform::object_store& store,
+config_editor::config_editor(snapshot& in_force, store::object_store& store,
                              peer::peer_network& peers,
                              const fleet::fleet_view& fleet, clock& time,
                              event_log& events)
@@ -139,19 +139,19 @@
 void config_editor::Write(const edit_ptr& current) {
   store_.Put(current->object_name(), current->value, current->expected,
              [this, weak = std::weak_ptr<edit>(current)](
-                 const platform::write_result& answer) {
+                 const store::write_result& answer) {
                if (const auto open = weak.lock()) OnWritten(open, answer);
              });
 }
 
 void config_editor::OnWritten(const edit_ptr& current,
-                              const platform::write_result& answer) {
+                              const store::write_result& answer) {
   if (current->stored > revision()) return;
   if (answer) {
     OnStored(current, *answer);
     return;
   }
-  const platform::write_error& cause = answer.error();
+  const store::write_error& cause = answer.error();
   switch (cause.cause.code) {
     case error_code::kConflict:
       OnOtherVersion(current,
@@ -183,7 +183,7 @@
 void config_editor::ReadBack(const edit_ptr& current) {
   store_.Get(current->object_name(),
              [this, weak = std::weak_ptr<edit>(current)](
-                 const result<platform::object>& answer) {
+                 const result<store::object>& answer) {
                if (const auto open = weak.lock()) OnReadBack(open, answer);
              });
 }
@@ -191,7 +191,7 @@
 // If the object is unchanged, the first write may still arrive later, so it is
 // repeated with the same writer id: the platform accepts only one of the two.
 void config_editor::OnReadBack(const edit_ptr& current,
-                               const result<platform::object>& answer) {
+                               const result<store::object>& answer) {
   const bool absent = !answer && answer.error().code == error_code::kNotFound;
   if (!answer && !absent) {
     RetryLater(current, &config_editor::ReadBack);
@@ -203,13 +203,13 @@
     return;
   }
   OnOtherVersion(current, absent ? std::nullopt
-                                 : std::optional<platform::object>(*answer));
+                                 : std::optional<store::object>(*answer));
 }
 
 // The object is not at the expected version: it holds this edit already, an
 // equal one, a tombstone that may be replaced, or the edit of someone else.
 void config_editor::OnOtherVersion(
-    const edit_ptr& current, const std::optional<platform::object>& found) {
+    const edit_ptr& current, const std::optional<store::object>& found) {
   if (!found) {
     Refuse(current,
            current->removes ? problem_code::kRowNotFound
--- a/packages/config/config_editor.h
+++ b/packages/config/config_editor.h
@@ -15,7 +15,7 @@
 #include "config/tables.h"
 #include "fleet/fleet_view.h"
 #include "peer/peer_network.h"
-#include "platform/object_store.h"
+#include "store/object_store.h"
 
 namespace bluebell::config {
 
@@ -49,7 +49,7 @@
   static constexpr std::chrono::milliseconds kStoreTimeout{8'000};
   static constexpr std::chrono::milliseconds kAnnounceTimeout{5'000};
 
-  config_editor(snapshot& in_force, platform::object_store& store,
+  config_editor(snapshot& in_force, store::object_store& store,
                 peer::peer_network& peers, const fleet::fleet_view& fleet,
                 clock& time, event_log& events);
   ~config_editor();
@@ -68,12 +68,12 @@
   void Begin(const std::string& name, nlohmann::json value, revision expected,
              callback done);
   void Write(const edit_ptr& current);
-  void OnWritten(const edit_ptr& current, const platform::write_result& answer);
+  void OnWritten(const edit_ptr& current, const store::write_result& answer);
   void ReadBack(const edit_ptr& current);
   void OnReadBack(const edit_ptr& current,
-                  const result<platform::object>& answer);
+                  const result<store::object>& answer);
   void OnOtherVersion(const edit_ptr& current,
-                      const std::optional<platform::object>& found);
+                      const std::optional<store::object>& found);
   void RetryLater(const edit_ptr& current,
                   void (config_editor::*step)(const edit_ptr&));
 
@@ -89,7 +89,7 @@
   std::optional<problem> CheckStatus() const;
 
   snapshot& in_force_;
-  platform::object_store& store_;
+  store::object_store& store_;
   peer::peer_network& peers_;
   const fleet::fleet_view& fleet_;
   clock& clock_;
--- a/packages/config/config_watcher.cpp
+++ b/packages/config/config_watcher.cpp
@@ -53,7 +53,7 @@
 };
 
 config_watcher::config_watcher(snapshot& in_force,
-                               platform::object_store& store,
+                               store::object_store& store,
                                peer::peer_network& peers, clock& time,
                                event_log& events)
     : in_force_(in_force),
@@ -93,7 +93,7 @@
   const bool watching = in_force_.complete();
   const auto started = clock_.now();
   const auto on_answer = [this, alive, call, watching,
-                          started](result<platform::object_list> answer) {
+                          started](result<store::object_list> answer) {
     if (alive.expired()) return;
     const bool early = watching && clock_.now() - started < kWatchWait / 2;
     OnStoreAnswer(call, early, answer);
@@ -113,7 +113,7 @@
 // further call.
 void config_watcher::OnStoreAnswer(
     std::uint64_t call, bool empty_is_early,
-    const result<platform::object_list>& answer) {
+    const result<store::object_list>& answer) {
   if (answer) ApplyList(*answer);
   if (call != call_) return;
   if (!answer) {
@@ -153,7 +153,7 @@
   retry_ = clock_.CallAfter(delay, [this] { CallStore(); });
 }
 
-void config_watcher::ApplyList(const platform::object_list& list) {
+void config_watcher::ApplyList(const store::object_list& list) {
   const std::size_t prefix = std::string(kObjectPrefix).size();
   for (const auto& item : list.items) {
     if (item.name.compare(0, prefix, kObjectPrefix) != 0) continue;
--- a/packages/config/config_watcher.h
+++ b/packages/config/config_watcher.h
@@ -11,7 +11,7 @@
 #include "config/messages.h"
 #include "config/snapshot.h"
 #include "peer/peer_network.h"
-#include "platform/object_store.h"
+#include "store/object_store.h"
 
 namespace bluebell::config {
 
@@ -22,7 +22,7 @@
 /// objects must outlive the watcher.
 class config_watcher {
  public:
-  config_watcher(snapshot& in_force, platform::object_store& store,
+  config_watcher(snapshot& in_force, store::object_store& store,
                  peer::peer_network& peers, clock& time, event_log& events);
 
   /// Starts the list and the watch. Call once.
@@ -48,10 +48,10 @@
 
   void CallStore();
   void OnStoreAnswer(std::uint64_t call, bool empty_is_early,
-                     const result<platform::object_list>& answer);
+                     const result<store::object_list>& answer);
   void OnStoreFailure(const std::string& cause);
   void RetryLater();
-  void ApplyList(const platform::object_list& list);
+  void ApplyList(const store::object_list& list);
   void MarkComplete(const std::string& source);
 
   void RequestPage(const std::shared_ptr<pull>& current);
@@ -61,7 +61,7 @@
   void ReportIfInvalid(const stored_row& row);
 
   snapshot& in_force_;
-  platform::object_store& store_;
+  store::object_store& store_;
   peer::peer_network& peers_;
   clock& clock_;
   event_log& events_;
--- a/packages/config/tests/config_editor_test.cpp
+++ b/packages/config/tests/config_editor_test.cpp
@@ -46,7 +46,7 @@
 
 struct store_fault {
   const char* name;
-  void (*set)(platform::memory_faults&);
+  void (*set)(store::memory_faults&);
   const char* expected;
 };
 
@@ -371,7 +371,7 @@
     for (std::size_t i = 0; i < fleet_.hosts.size(); ++i) {
       fleet_.network.SetIsolated(fleet_.members[i], false);
       fleet_.network.Resume(fleet_.members[i]);
-      fleet_.hosts[i]->store.faults() = platform::memory_faults();
+      fleet_.hosts[i]->store.faults() = store::memory_faults();
     }
   }
 
--- a/packages/config/tests/config_fleet.h
+++ b/packages/config/tests/config_fleet.h
@@ -10,7 +10,7 @@
 #include "config/config_editor.h"
 #include "config/config_watcher.h"
 #include "peer/memory_peer_network.h"
-#include "platform/memory_object_store.h"
+#include "store/memory_object_store.h"
 
 namespace bluebell::config {
 
@@ -41,15 +41,15 @@
 };
 
 /// A platform whose calls are never answered, against the contract.
-class mute_store final : public platform::object_store {
+class mute_store final : public store::object_store {
  public:
-  using list_callback = std::function<void(result<platform::object_list>)>;
+  using list_callback = std::function<void(result<store::object_list>)>;
   void Get(const std::string&,
-           std::function<void(result<platform::object>)>) override {}
+           std::function<void(result<store::object>)>) override {}
   void Put(const std::string&, const nlohmann::json&, std::optional<revision>,
-           std::function<void(platform::write_result)>) override {}
+           std::function<void(store::write_result)>) override {}
   void Remove(const std::string&, revision,
-              std::function<void(platform::write_result)>) override {}
+              std::function<void(store::write_result)>) override {}
   void List(const std::string&, list_callback done) override {
     calls.push_back(std::move(done));
   }
@@ -58,7 +58,7 @@
     calls.push_back(std::move(done));
   }
   void ListHosts(
-      std::function<void(result<std::vector<platform::listed_host>>)>)
+      std::function<void(result<std::vector<store::listed_host>>)>)
       override {}
 
   std::vector<list_callback> calls;
@@ -68,7 +68,7 @@
 class config_host {
  public:
   config_host(const host_id& id, const std::vector<host_id>& members,
-              platform::memory_platform& shared, peer::memory_network& network)
+              store::memory_platform& shared, peer::memory_network& network)
       : clock(network.ClockOf(id)),
         fleet(id, members),
         store(shared),
@@ -102,7 +102,7 @@
 
   bluebell::clock& clock;
   fixed_fleet fleet;
-  platform::memory_object_store store;
+  store::memory_object_store store;
   std::unique_ptr<peer::peer_network> peers;
   event_log events;
   snapshot in_force;
@@ -178,7 +178,7 @@
   }
 
   manual_clock clock;
-  platform::memory_platform platform{clock};
+  store::memory_platform platform{clock};
   peer::memory_network network{clock, 7};
   std::vector<host_id> members;
   std::vector<std::unique_ptr<config_host>> hosts;
--- a/packages/config/tests/config_watcher_test.cpp
+++ b/packages/config/tests/config_watcher_test.cpp
@@ -98,11 +98,11 @@
   watcher.Start();
   clock.Advance(seconds(6));
   ASSERT_EQ(store.calls.size(), 2u);
-  store.calls[0](platform::object_list{
+  store.calls[0](store::object_list{
       {{"config/accounts/a", revision(3), Account("a", 1)}}, revision(3)});
   EXPECT_NE(in_force.FindAccount(account_id("a")), nullptr);
   EXPECT_EQ(store.calls.size(), 2u);
-  store.calls[1](platform::object_list{{}, revision(3)});
+  store.calls[1](store::object_list{{}, revision(3)});
   EXPECT_EQ(store.calls.size(), 3u);
   clock.Advance(seconds(23));
   EXPECT_EQ(store.calls.size(), 4u);
@@ -119,9 +119,9 @@
   snapshot in_force;
   config_watcher watcher(in_force, store, *peers, clock, events);
   watcher.Start();
-  store.calls[0](platform::object_list{{}, revision(3)});
+  store.calls[0](store::object_list{{}, revision(3)});
   ASSERT_EQ(store.calls.size(), 2u);
-  store.calls[1](platform::object_list{{}, revision(3)});
+  store.calls[1](store::object_list{{}, revision(3)});
   EXPECT_EQ(store.calls.size(), 2u);
   clock.Advance(seconds(1));
   EXPECT_EQ(store.calls.size(), 3u);
--- a/packages/daemon/demand_exchange.cpp
+++ b/packages/daemon/demand_exchange.cpp
@@ -65,7 +65,7 @@
 }
 
 demand_exchange::demand_exchange(peer::peer_network& peers,
-                                 platform::object_store& store,
+                                 store::object_store& store,
                                  const fleet::fleet_view& fleet,
                                  routing::queue_scheduler& scheduler,
                                  placement::controller& controller, clock& time)
@@ -97,7 +97,7 @@
 
 void demand_exchange::FindController() {
   store_.Get(kLeaseName, [this, alive = std::weak_ptr<char>(alive_)](
-                             const result<platform::object>& found) {
+                             const result<store::object>& found) {
     if (alive.expired() || !found || !found->value.is_object()) return;
     controller_host_ = host_id(found->value.value("host", std::string()));
   });
--- a/packages/daemon/demand_exchange.h
+++ b/packages/daemon/demand_exchange.h
@@ -7,7 +7,7 @@
 #include "fleet/fleet_view.h"
 #include "peer/peer_network.h"
 #include "placement/controller.h"
-#include "platform/object_store.h"
+#include "store/object_store.h"
 #include "routing/queue_scheduler.h"
 
 namespace bluebell::daemon {
@@ -17,7 +17,7 @@
 class demand_exchange {
  public:
   /// The arguments must outlive the exchange.
-  demand_exchange(peer::peer_network& peers, platform::object_store& store,
+  demand_exchange(peer::peer_network& peers, store::object_store& store,
                   const fleet::fleet_view& fleet,
                   routing::queue_scheduler& scheduler,
                   placement::controller& controller, clock& time);
@@ -30,7 +30,7 @@
   void Report();
 
   peer::peer_network& peers_;
-  platform::object_store& store_;
+  store::object_store& store_;
   const fleet::fleet_view& fleet_;
   routing::queue_scheduler& scheduler_;
   placement::controller& controller_;
--- a/packages/daemon/endpoint_listing.cpp
+++ b/packages/daemon/endpoint_listing.cpp
@@ -13,7 +13,7 @@
 
 void endpoint_listing::Start() {
   store_.ListHosts([this, alive = std::weak_ptr<char>(alive_)](
-                       const result<std::vector<platform::listed_host>>& list) {
+                       const result<std::vector<store::listed_host>>& list) {
     if (alive.expired()) return;
     OnList(list);
     next_ = time_.CallAfter(kListInterval, [this] { Start(); });
@@ -22,7 +22,7 @@
 
 // During an outage the last list stays in force.
 void endpoint_listing::OnList(
-    const result<std::vector<platform::listed_host>>& listed) {
+    const result<std::vector<store::listed_host>>& listed) {
   if (!listed) return;
   std::set<endpoint_id> leaving;
   for (const auto& host : *listed) {
--- a/packages/daemon/endpoint_listing.h
+++ b/packages/daemon/endpoint_listing.h
@@ -3,7 +3,7 @@
 #include <memory>
 
 #include "base/clock.h"
-#include "platform/object_store.h"
+#include "store/object_store.h"
 #include "routing/endpoint_view.h"
 
 namespace bluebell::daemon {
@@ -12,16 +12,16 @@
 /// view which endpoints are leaving.
 class endpoint_listing {
  public:
-  endpoint_listing(platform::object_store& store, routing::endpoint_view& view,
+  endpoint_listing(store::object_store& store, routing::endpoint_view& view,
                    clock& time)
       : store_(store), view_(view), time_(time) {}
 
   void Start();
 
  private:
-  void OnList(const result<std::vector<platform::listed_host>>& listed);
+  void OnList(const result<std::vector<store::listed_host>>& listed);
 
-  platform::object_store& store_;
+  store::object_store& store_;
   routing::endpoint_view& view_;
   clock& time_;
   timer_handle next_;
--- a/packages/daemon/host_process.cpp
+++ b/packages/daemon/host_process.cpp
@@ -24,7 +24,7 @@
 #include "limits/admission_factory.h"
 #include "peer/websocket_peer_network.h"
 #include "placement/controller.h"
-#include "platform/http_object_store.h"
+#include "store/http_object_store.h"
 #include "routing/endpoint_poller.h"
 #include "routing/endpoint_view.h"
 #include "routing/queue_scheduler.h"
@@ -63,7 +63,7 @@
   asio_clock time;
   event_log events;
   config::snapshot rows;
-  std::unique_ptr<platform::http_object_store> store;
+  std::unique_ptr<store::http_object_store> store;
   std::unique_ptr<peer::websocket_peer_network> peers;
   std::unique_ptr<config::config_watcher> watcher;
   std::unique_ptr<fleet::fleet> fleet;
@@ -89,10 +89,10 @@
 };
 
 result<void> host_process::parts::CreateTransports() {
-  platform::http_store_options options;
+  store::http_store_options options;
   options.addresses = settings.platform_addresses;
   options.call_limit = settings.platform_timeout;
-  auto created_store = platform::http_object_store::Create(context, options);
+  auto created_store = store::http_object_store::Create(context, options);
   if (!created_store) return tl::unexpected(created_store.error());
   store = std::move(*created_store);
   auto created_peers = peer::websocket_peer_network::Create(
--- a/packages/daemon/program/bluebellraild.cpp
+++ b/packages/daemon/program/bluebellraild.cpp
@@ -5,10 +5,16 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
+#include <functional>
 #include <iostream>
 
+#include "base/asio_clock.h"
 #include "daemon/host_process.h"
 #include "daemon/host_settings.h"
+#include "edge/edge_host.h"
+#include "edge/edge_settings.h"
+#include "platform/users_dialect.h"
+#include "platform/users_store.h"
 
 namespace bluebell::daemon {
 namespace {
@@ -39,11 +45,73 @@
   return kDone;
 }
 
+// Runs an entry host on the users' platform.
+int RunHosted(const edge::edge_settings& settings) {
+  boost::asio::io_context context;
+  asio_clock clock(context);
+  edge::edge_host* started = nullptr;
+  const platform::users_dialect dialect;
+  platform::users_store store(
+      context, clock, settings.store_address, settings.store_timeout,
+      [&started](const auto& kind, const auto& name, const auto& why) {
+        if (started != nullptr) started->LogUnreadable(kind, name, why);
+      });
+  auto host = edge::edge_host::Create(context, clock, settings, dialect, store);
+  if (!host) {
+    std::cerr << "cannot start: " << host.error().detail << std::endl;
+    return kCannotStart;
+  }
+  started = host->get();
+  started->OnStopped([&context] { context.stop(); });
+  boost::asio::signal_set stops(context, SIGTERM, SIGINT);
+  stops.async_wait([started](const boost::system::error_code& failure, int) {
+    if (!failure) started->Stop();
+  });
+  boost::asio::signal_set reloads(context, SIGHUP);
+  std::function<void()> await_reload = [&] {
+    reloads.async_wait([&](const boost::system::error_code& failure, int) {
+      if (failure) return;
+      started->OnReload();
+      await_reload();
+    });
+  };
+  await_reload();
+  context.run();
+  return kDone;
+}
+
+// Prints every finding of a check of the settings.
+void Print(const std::vector<setting_error>& findings) {
+  for (const auto& finding : findings) {
+    std::cerr << ToString(finding) << std::endl;
+  }
+}
+
+// Runs `run` with the settings in `file`, or only checks them.
+template <class Settings, class RunFunction>
+int CheckAndRun(const std::string& file, bool check_only, RunFunction run) {
+  const auto settings = Settings::Load(file);
+  if (!settings) {
+    Print(settings.error());
+    return kInvalidSettings;
+  }
+  if (check_only) {
+    std::cout << file << ": valid" << std::endl;
+    return kDone;
+  }
+  StartLogging(settings->log_level);
+  return run(*settings);
+}
+
 int Main(int argc, char** argv) {
   CLI::App app("bluebellraild: the entry host of bluebellrail");
   std::string file;
   bool check_only = false;
+  bool hosted = false;
   app.add_option("--config", file, "Settings file (INI)")->required();
+  app.add_flag("--hosted", hosted,
+               "Run on the users' hosted platform; the settings are those of "
+               "docs/operating.md, section Hosted");
   app.add_flag("--check", check_only,
                "Check the settings file, report every error and exit");
   app.set_version_flag("--version", "bluebellraild " BLUEBELL_VERSION);
@@ -52,19 +120,10 @@
       "invalid.");
   CLI11_PARSE(app, argc, argv);
 
-  const auto settings = host_settings::Load(file);
-  if (!settings) {
-    for (const auto& finding : settings.error()) {
-      std::cerr << ToString(finding) << std::endl;
-    }
-    return kInvalidSettings;
+  if (hosted) {
+    return CheckAndRun<edge::edge_settings>(file, check_only, RunHosted);
   }
-  if (check_only) {
-    std::cout << file << ": valid" << std::endl;
-    return kDone;
-  }
-  StartLogging(settings->log_level);
-  return Run(*settings);
+  return CheckAndRun<host_settings>(file, check_only, Run);
 }
 
 }  // namespace
--- /dev/null
+++ b/packages/edge/digest_exchange.cpp
@@ -0,0 +1,211 @@
+#include "edge/digest_exchange.h"
+
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <set>
+
+#include "base/address.h"
+
+namespace bluebell::edge {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+using failure = boost::system::error_code;
+
+// Interval per host in the fleet, so that each host handles about a hundred
+// digests per second whatever the size.
+constexpr milliseconds kIntervalPerHost{10};
+constexpr milliseconds kLeastInterval{200};
+constexpr milliseconds kMostInterval{900};
+// The list of hosts changes when hosts are added or replaced.
+constexpr milliseconds kListInterval{3000};
+constexpr milliseconds kListRetry{300};
+// A host that said nothing for this long gets digests only if it is listed.
+constexpr std::chrono::seconds kForgotten{10};
+
+void Pause(edge_state& host, milliseconds span, asio::yield_context yield) {
+  asio::steady_timer timer(host.io, span);
+  failure ignored;
+  timer.async_wait(yield[ignored]);
+}
+
+}  // namespace
+
+result<std::unique_ptr<digest_exchange>> digest_exchange::Create(
+    edge_state& host) {
+  const auto address = ParseAddress(host.settings.digest_listen);
+  if (!address) return tl::unexpected(address.error());
+  udp::socket socket(host.io);
+  failure ended;
+  socket.open(udp::v4(), ended);
+  if (!ended) {
+    socket.bind(udp::endpoint(address->address(), address->port()), ended);
+  }
+  if (ended) {
+    return Fail(error_code::kUnavailable,
+                host.settings.digest_listen + ": " + ended.message());
+  }
+  return std::unique_ptr<digest_exchange>(
+      new digest_exchange(host, std::move(socket)));
+}
+
+digest_exchange::digest_exchange(edge_state& host, udp::socket socket)
+    : host_(host), socket_(std::move(socket)) {}
+
+void digest_exchange::RunReceive(asio::yield_context yield) {
+  while (true) {
+    udp::endpoint from;
+    failure ended;
+    const std::size_t count =
+        socket_.async_receive_from(asio::buffer(received_), from, yield[ended]);
+    if (ended == asio::error::operation_aborted) return;
+    // An unreachable peer is reported on the next receive; it is no reason to
+    // stop.
+    if (ended) continue;
+    Receive({received_.data(), count},
+            from.address().to_string() + ":" + std::to_string(from.port()));
+  }
+}
+
+void digest_exchange::Receive(std::string_view bytes, const std::string& from) {
+  const auto digest = serving::DecodeDigest(bytes);
+  if (!digest) {
+    host_.metrics.Count("digest_unreadable");
+    host_.log.Write("digest_unreadable",
+                    {{"from", from}, {"detail", digest.error().detail}});
+    return;
+  }
+  const bool known = host_.directory.peers().count(digest->host) > 0;
+  if (!host_.directory.OnDigest(*digest, from)) return;
+  if (!known) {
+    host_.log.Write("host_heard", {{"peer", digest->host.value()},
+                                   {"zone", digest->zone.value()},
+                                   {"address", digest->front_address}});
+  }
+  host_.fleet.OnPeerLoad(digest->host, digest->in_flight);
+  host_.quota.OnReport(digest->host, digest->incarnation,
+                       milliseconds(digest->uptime_ms), digest->quota_uses);
+  if (digest->leaving) host_.fleet.OnPeerGone(digest->host);
+  demand_[digest->host] = digest->demand;
+  if (on_want) {
+    for (const auto& want : digest->wants) on_want(want);
+  }
+  for (const auto& notice : digest->notices) host_.fleet.OnNotice(notice);
+  if (!digest->notices.empty()) host_.changed.Notify();
+  if (digest->hello) SendTo(from, serving::EncodeDigest(Compose()));
+}
+
+void digest_exchange::RunSend(asio::yield_context yield) {
+  while (true) {
+    const auto interval = Interval();
+    host_.quota.Divide(interval);
+    SendToAll();
+    host_.connections.CloseExpired();
+    for (const auto& silent : host_.directory.TakeSilent()) {
+      host_.fleet.OnPeerGone(silent);
+      demand_.erase(silent);
+      host_.log.Write("host_silent", {{"peer", silent.value()}});
+    }
+    Pause(host_, interval, yield);
+  }
+}
+
+void digest_exchange::RunListing(asio::yield_context yield) {
+  bool written = false;
+  while (!host_.leaving) {
+    if (!written) {
+      const auto done = host_.store.WriteHost(
+          {host_.settings.id, host_.settings.digest_listen}, yield);
+      written = done.has_value();
+      if (!done) {
+        host_.log.Write("host_not_listed", {{"detail", done.error().detail}});
+      }
+    }
+    const auto hosts = host_.store.ListHosts(yield);
+    if (hosts) {
+      listed_.clear();
+      for (const auto& entry : *hosts) {
+        if (entry.host != host_.settings.id) {
+          listed_[entry.host] = entry.digest_address;
+        }
+      }
+    } else {
+      host_.log.Write("hosts_not_read", {{"detail", hosts.error().detail}});
+    }
+    // While no other host was heard, the fleet may still be starting.
+    const bool settled = written && hosts && !host_.directory.peers().empty();
+    Pause(host_, settled ? kListInterval : kListRetry, yield);
+  }
+}
+
+void digest_exchange::SendWant(const serving::adapter_want& want) {
+  const auto& holder = host_.duty.known().holder;
+  if (holder == host_.settings.id) {
+    if (on_want) on_want(want);
+    return;
+  }
+  const auto peer = host_.directory.peers().find(holder);
+  if (peer == host_.directory.peers().end()) return;
+  auto digest = Compose();
+  digest.wants.push_back(want);
+  SendTo(peer->second.digest_address, serving::EncodeDigest(digest));
+}
+
+void digest_exchange::SendNow() { SendToAll(); }
+
+serving::host_digest digest_exchange::Compose() {
+  serving::host_digest digest;
+  digest.host = host_.settings.id;
+  digest.incarnation = host_.incarnation;
+  digest.zone = host_.settings.zone;
+  digest.front_address = host_.settings.callers_listen;
+  digest.uptime_ms =
+      std::chrono::duration_cast<milliseconds>(host_.time.now() - host_.started)
+          .count();
+  digest.number = ++number_;
+  digest.serving = host_.Serving();
+  digest.leaving = host_.leaving;
+  digest.hello = host_.directory.peers().empty();
+  digest.in_flight = host_.fleet.OwnInFlight();
+  digest.quota_uses = host_.quota.Uses();
+  if (notices) digest.notices = notices();
+  return digest;
+}
+
+void digest_exchange::SendToAll() {
+  std::map<host_id, std::string> targets = listed_;
+  const auto now = host_.time.now();
+  for (const auto& [id, peer] : host_.directory.peers()) {
+    if (now - peer.heard < kForgotten) targets[id] = peer.digest_address;
+  }
+  auto digest = Compose();
+  const auto common = serving::EncodeDigest(digest);
+  const auto& holder = host_.duty.known().holder;
+  for (const auto& [id, address] : targets) {
+    if (id != holder) SendTo(address, common);
+  }
+  const auto to_holder = targets.find(holder);
+  if (to_holder == targets.end()) return;
+  digest.number = ++number_;
+  digest.demand = host_.demand.Rates();
+  SendTo(to_holder->second, serving::EncodeDigest(digest));
+}
+
+// A datagram that cannot be sent is like a lost one: the next replaces it.
+void digest_exchange::SendTo(const std::string& address,
+                             const std::string& bytes) {
+  const auto target = ParseAddress(address);
+  if (!target) return;
+  failure ended;
+  socket_.send_to(asio::buffer(bytes),
+                  udp::endpoint(target->address(), target->port()), 0, ended);
+  if (ended) host_.metrics.Count("digest_not_sent");
+}
+
+milliseconds digest_exchange::Interval() const {
+  return std::clamp(kIntervalPerHost * host_.directory.HostCount(),
+                    kLeastInterval, kMostInterval);
+}
+
+}  // namespace bluebell::edge
--- /dev/null
+++ b/packages/edge/edge_settings.cpp
@@ -0,0 +1,105 @@
+#include "edge/edge_settings.h"
+
+namespace bluebell::edge {
+namespace {
+
+constexpr std::int64_t kMostMilliseconds = 600'000;
+constexpr std::int64_t kMostInteger = 1'000'000;
+
+setting_rule Rule(std::string section, std::string key, setting_type type,
+                  std::string default_value = {}) {
+  setting_rule rule;
+  rule.section = std::move(section);
+  rule.key = std::move(key);
+  rule.type = type;
+  rule.required = default_value.empty();
+  rule.default_value = std::move(default_value);
+  return rule;
+}
+
+setting_rule Text(std::string section, std::string key) {
+  return Rule(std::move(section), std::move(key), setting_type::kText);
+}
+
+setting_rule Address(std::string section, std::string key) {
+  return Rule(std::move(section), std::move(key), setting_type::kAddress);
+}
+
+setting_rule Milliseconds(std::string section, std::string key,
+                          std::string default_value = {}) {
+  auto rule = Rule(std::move(section), std::move(key),
+                   setting_type::kMilliseconds, std::move(default_value));
+  rule.minimum = 1;
+  rule.maximum = kMostMilliseconds;
+  return rule;
+}
+
+setting_rule Integer(std::string section, std::string key) {
+  auto rule = Rule(std::move(section), std::move(key), setting_type::kInteger);
+  rule.maximum = kMostInteger;
+  return rule;
+}
+
+}  // namespace
+
+const std::vector<setting_rule>& EdgeSettingRules() {
+  static const std::vector<setting_rule> rules = {
+      Text("host", "id"),
+      Text("host", "zone"),
+      Address("listen", "callers"),
+      Address("listen", "ready"),
+      Address("listen", "directory"),
+      Address("listen", "metrics"),
+      Address("listen", "digests"),
+      Address("store", "address"),
+      // A call takes milliseconds; two lost ones leave time within the bounds.
+      Milliseconds("store", "timeout_ms", "800"),
+      Milliseconds("bounds", "key_withdrawal_ms"),
+      Milliseconds("bounds", "stop_grace_ms"),
+      Milliseconds("bounds", "placement_pause_ms"),
+      Milliseconds("bounds", "retry_window_ms"),
+      Integer("bounds", "retry_percent"),
+      Integer("bounds", "retry_slack"),
+      // Short, so that callers leave a stopping host within its grace time
+      // even if they keep an answer for three times as long.
+      Milliseconds("directory", "lifetime_ms", "1500"),
+      {"log",
+       "level",
+       setting_type::kText,
+       "info",
+       false,
+       0,
+       0,
+       {"debug", "info", "warn", "error"}},
+  };
+  return rules;
+}
+
+tl::expected<edge_settings, std::vector<setting_error>> edge_settings::Load(
+    const std::string& file) {
+  const auto read = settings::Load(file, EdgeSettingRules());
+  if (!read) return tl::unexpected(read.error());
+  edge_settings loaded;
+  loaded.id = host_id(read->Text("host", "id"));
+  loaded.zone = zone_id(read->Text("host", "zone"));
+  loaded.callers_listen = read->Text("listen", "callers");
+  loaded.ready_listen = read->Text("listen", "ready");
+  loaded.directory_listen = read->Text("listen", "directory");
+  loaded.metrics_listen = read->Text("listen", "metrics");
+  loaded.digest_listen = read->Text("listen", "digests");
+  loaded.store_address = read->Text("store", "address");
+  loaded.store_timeout = read->Milliseconds("store", "timeout_ms");
+  loaded.key_withdrawal = read->Milliseconds("bounds", "key_withdrawal_ms");
+  loaded.stop_grace = read->Milliseconds("bounds", "stop_grace_ms");
+  loaded.placement_pause = read->Milliseconds("bounds", "placement_pause_ms");
+  loaded.retries.window = read->Milliseconds("bounds", "retry_window_ms");
+  loaded.retries.ratio =
+      static_cast<double>(read->Integer("bounds", "retry_percent")) / 100;
+  loaded.retries.slack =
+      static_cast<double>(read->Integer("bounds", "retry_slack"));
+  loaded.directory_lifetime = read->Milliseconds("directory", "lifetime_ms");
+  loaded.log_level = read->Text("log", "level");
+  return loaded;
+}
+
+}  // namespace bluebell::edge
--- /dev/null
+++ b/packages/edge/placement_runner.cpp
@@ -0,0 +1,508 @@
+#include "edge/placement_runner.h"
+
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <cmath>
+
+#include "gateway/network.h"
+#include "serving/adapter_planner.h"
+
+namespace bluebell::edge {
+namespace {
+
+using serving::order_kind;
+using serving::placement_order;
+
+constexpr milliseconds kReadInterval{800};
+constexpr milliseconds kDutyStep{100};
+constexpr milliseconds kPlanInterval{200};
+constexpr milliseconds kOrderTimeout{400};
+constexpr milliseconds kReportInterval{200};
+// Time that an adapter takes from the store to an engine, at most, while few
+// are on their way.
+constexpr milliseconds kAdapterLoad{12};
+constexpr milliseconds kAdapterStep{4};
+// Orders for one adapter: some that make room, and the load.
+constexpr int kMostAdapterOrders = 4;
+// Time over which the lasting demand of a model is averaged.
+constexpr double kLastingSeconds = 15;
+// Part of the weight store's rate that is used; the rest covers loads that
+// the holder before has started.
+constexpr double kStoreRatePart = 0.85;
+constexpr double kMostStoreLoads = 2;
+// Part of an engine's slots that a copy fills comfortably.
+constexpr double kComfortPart = 0.5;
+// Requests hold a slot for at least this long in the plan, so that the first
+// short ones do not make a copy look faster than it is.
+constexpr double kLeastHeldSeconds = 0.6;
+// A notice travels until every host has read the engine's own record.
+constexpr std::chrono::seconds kNoticeLife{6};
+// An order that takes this many times its expected time is given up; the
+// engine's report then tells what became of it.
+constexpr double kOrderPatience = 4;
+
+}  // namespace
+
+placement_runner::placement_runner(edge_state& host, digest_exchange& exchange)
+    : host_(host), exchange_(exchange) {
+  exchange_.on_want = [this](const auto& want) { OnWant(want); };
+  exchange_.notices = [this] { return Notices(); };
+}
+
+void placement_runner::RunDuty(boost::asio::yield_context yield) {
+  clock::time_point read_at;
+  while (!host_.leaving) {
+    const auto now = host_.time.now();
+    const bool own = host_.duty.known().holder == host_.settings.id;
+    if (!own && now - read_at >= kReadInterval) {
+      read_at = now;
+      const auto read = host_.store.ReadDuty(yield);
+      if (read) {
+        const auto before = host_.duty.known().holder;
+        host_.duty.OnRead(*read, now);
+        if (before != read->holder) {
+          host_.log.Write("placement_holder",
+                          {{"holder", read->holder.value()},
+                           {"revision", std::to_string(read->revision)}});
+        }
+      }
+    }
+    WriteDuty(yield);
+    const bool acts = host_.duty.MayAct();
+    if (acts != acting_) {
+      acting_ = acts;
+      work_.clear();
+      host_.log.Write(
+          acts ? "placement_begins" : "placement_ends",
+          {{"fencing", std::to_string(host_.duty.fencing_number())}});
+    }
+    Pause(kDutyStep, yield);
+  }
+}
+
+bool placement_runner::WriteDuty(boost::asio::yield_context yield) {
+  const auto wanted = host_.duty.NextWrite();
+  if (!wanted) return false;
+  const auto sent = host_.time.now();
+  const auto written = host_.store.WriteDuty(*wanted, yield);
+  if (written) {
+    host_.duty.OnWritten(*written, wanted->released, sent);
+    return true;
+  }
+  host_.metrics.Count("duty_write_failed");
+  // A lost answer may stand for a grant, a conflict for a new holder: read.
+  const auto read = host_.store.ReadDuty(yield);
+  if (read) host_.duty.OnRead(*read, sent);
+  return false;
+}
+
+void placement_runner::Resign(boost::asio::yield_context yield) {
+  host_.duty.Resign();
+  if (WriteDuty(yield)) host_.log.Write("placement_released", {});
+}
+
+void placement_runner::RunPlanning(boost::asio::yield_context yield) {
+  planned_ = host_.time.now();
+  while (true) {
+    Pause(kPlanInterval, yield);
+    const auto now = host_.time.now();
+    const double passed = std::chrono::duration<double>(now - planned_).count();
+    planned_ = now;
+    if (!host_.duty.MayAct() || host_.config == nullptr) continue;
+    for (const auto& service : host_.config->services) {
+      if (!service.engine) continue;
+      store_loads_ = std::min(
+          kMostStoreLoads,
+          store_loads_ + passed * kStoreRatePart * service.engine->loads_per_s);
+      auto input = BuildInput(service);
+      for (auto& [model, demand] : input.demand) {
+        auto& lasting = lasting_[model];
+        lasting +=
+            std::min(1.0, passed / kLastingSeconds) * (demand.recent - lasting);
+        demand.lasting = lasting;
+      }
+      for (auto& order : serving::PlanCopies(input)) {
+        auto& work = WorkOf(order.engine);
+        if (work.busy || work.sending) continue;
+        work.busy = true;
+        if (order.from_store) store_loads_ -= 1;
+        gateway::SpawnTask(
+            host_.io, [this, order](auto inner) { CarryOut(order, inner); });
+      }
+    }
+  }
+}
+
+serving::planner_input placement_runner::BuildInput(
+    const serving::service& service) {
+  serving::planner_input input;
+  input.models = service.engine->models;
+  input.store_loads = static_cast<int>(store_loads_);
+  double held = 0;
+  double slots = 0;
+  int count = 0;
+  for (const auto& [id, engine] : host_.fleet.engines()) {
+    if (engine.record.service != service.id || engine.record.leaving ||
+        engine.missing_since) {
+      continue;
+    }
+    const auto& work = WorkOf(id);
+    serving::planned_engine planned;
+    planned.id = id;
+    planned.weights_mb = service.engine->weights_mb;
+    planned.resident = engine.Resident();
+    planned.in_memory = engine.record.in_memory;
+    planned.on_disk = engine.record.on_disk;
+    planned.busy = work.busy || work.sending;
+    planned.loading = work.loading;
+    input.engines.push_back(std::move(planned));
+    held += engine.held_s;
+    slots += engine.record.slots;
+    ++count;
+  }
+  if (count > 0) {
+    input.comfortable_per_copy = kComfortPart * (slots / count) /
+                                 std::max(kLeastHeldSeconds, held / count);
+  }
+  for (const auto& use : host_.demand.Rates()) {
+    if (use.adapter.value().empty()) {
+      input.demand[use.model].recent += use.requests_per_s;
+    }
+  }
+  for (const auto& [host, uses] : exchange_.demand()) {
+    for (const auto& use : uses) {
+      if (use.adapter.value().empty()) {
+        input.demand[use.model].recent += use.requests_per_s;
+      }
+    }
+  }
+  for (const auto& model : input.models) input.demand[model.id];
+  return input;
+}
+
+// The work entry of an engine, brought up to date with its record.
+placement_runner::engine_work& placement_runner::WorkOf(const endpoint_id& id) {
+  auto& work = work_[id];
+  const auto* engine = host_.fleet.Find(id);
+  if (engine == nullptr) return work;
+  if (work.started_ms != engine->record.started_ms) {
+    work = {};
+    work.started_ms = engine->record.started_ms;
+    work.order_count = engine->record.order_count;
+    work.notice.engine = id;
+    work.notice.started_ms = work.started_ms;
+  }
+  if (engine->record.order_count > work.order_count) {
+    work.order_count = engine->record.order_count;
+  }
+  return work;
+}
+
+void placement_runner::CarryOut(placement_order order,
+                                boost::asio::yield_context yield) {
+  const auto result = Send(order, yield);
+  auto& work = WorkOf(order.engine);
+  if (result == order_result::kAccepted) {
+    double expected_s = 1;
+    for (const auto& service : host_.config->services) {
+      if (!service.engine) continue;
+      for (const auto& model : service.engine->models) {
+        if (model.id == order.model && order.kind == order_kind::kLoad) {
+          expected_s =
+              order.from_store ? model.store_load_s : model.disk_load_s;
+        }
+      }
+    }
+    if (order.kind == order_kind::kLoad) {
+      work.loading = order.model;
+      work.notice.removed.erase(order.model);
+    } else {
+      work.notice.removed.insert(order.model);
+      work.notice.added.erase(order.model);
+    }
+    Publish(order.engine);
+    AwaitEnd(order, expected_s, yield);
+  } else if (result == order_result::kHolds &&
+             order.kind == order_kind::kLoad) {
+    work.notice.added[order.model];
+    work.notice.removed.erase(order.model);
+    Publish(order.engine);
+  }
+  auto& after = WorkOf(order.engine);
+  after.busy = false;
+  after.loading.reset();
+}
+
+// Waits until the engine's report shows the order as done.
+void placement_runner::AwaitEnd(const placement_order& order, double expected_s,
+                                boost::asio::yield_context yield) {
+  const auto begun = host_.time.now();
+  const auto patience =
+      std::chrono::duration<double>(2 + kOrderPatience * expected_s);
+  if (order.kind == order_kind::kLoad) {
+    Pause(milliseconds(static_cast<int>(expected_s * 900)), yield);
+  }
+  while (host_.time.now() - begun < patience) {
+    const auto report = Report(order.engine, yield);
+    if (!host_.duty.MayAct() || host_.fleet.Find(order.engine) == nullptr) {
+      return;
+    }
+    if (report) {
+      auto& work = WorkOf(order.engine);
+      const bool there = report->resident.count(order.model) > 0;
+      const bool done = there == (order.kind == order_kind::kLoad);
+      if (done) {
+        if (order.kind == order_kind::kLoad) {
+          work.notice.added[order.model] = report->resident.at(order.model);
+        }
+        Publish(order.engine);
+        host_.log.Write(
+            "order_done",
+            {{"engine", order.engine.value()},
+             {"model", order.model.value()},
+             {"kind", order.kind == order_kind::kLoad ? "load" : "unload"},
+             {"ms", std::to_string(std::chrono::duration_cast<milliseconds>(
+                                       host_.time.now() - begun)
+                                       .count())}});
+        return;
+      }
+      if (!report->busy && host_.time.now() - begun > std::chrono::seconds(1)) {
+        host_.log.Write(
+            "order_without_effect",
+            {{"engine", order.engine.value()}, {"model", order.model.value()}});
+        return;
+      }
+    }
+    Pause(kReportInterval, yield);
+  }
+}
+
+placement_runner::order_result placement_runner::Send(
+    const placement_order& order, boost::asio::yield_context yield) {
+  auto& work = WorkOf(order.engine);
+  const auto started_ms = work.started_ms;
+  work.sending = true;
+  if (!work.count_known) {
+    const auto report = Report(order.engine, yield);
+    auto& known = WorkOf(order.engine);
+    if (!report || known.started_ms != started_ms) {
+      known.sending = false;
+      return order_result::kNoAnswer;
+    }
+    known.order_count = std::max(known.order_count, report->order_count);
+    known.count_known = true;
+  }
+  const auto* engine = host_.fleet.Find(order.engine);
+  auto result = order_result::kGone;
+  std::string detail;
+  std::int64_t expected = WorkOf(order.engine).order_count;
+  if (engine != nullptr) {
+    auto lease = host_.connections.Take(order.engine, engine->record.address,
+                                        kOrderTimeout, kOrderTimeout, yield);
+    // Asked after the wait for the connection: the duty may have ended.
+    if (!lease) {
+      detail = lease.error().detail;
+    } else if (!host_.duty.MayAct()) {
+      detail = "duty ended";
+    } else {
+      const auto request = host_.dialect.OrderRequest(
+          {order, host_.settings.id, host_.duty.fencing_number(), expected});
+      result = order_result::kNoAnswer;
+      if (lease->connection->Send(request, kOrderTimeout, yield, true)) {
+        const auto head = lease->connection->ReadHead(kOrderTimeout, yield);
+        if (head) {
+          detail = std::to_string(head->status);
+          result = head->status == 202   ? order_result::kAccepted
+                   : head->status == 200 ? order_result::kHolds
+                                         : order_result::kRefused;
+          const auto body =
+              lease->connection->ReadRest(65536, kOrderTimeout, yield);
+          if (body) {
+            host_.connections.Return(order.engine, std::move(*lease),
+                                     kOrderTimeout);
+          }
+        }
+      }
+    }
+  }
+  auto& after = WorkOf(order.engine);
+  if (after.started_ms == started_ms) {
+    after.sending = false;
+    if (result == order_result::kAccepted) {
+      after.order_count = std::max(after.order_count, expected + 1);
+    } else if (result == order_result::kHolds &&
+               order.kind == order_kind::kUnload) {
+      after.order_count = std::max(after.order_count, expected + 1);
+    } else {
+      after.count_known = false;
+    }
+  }
+  host_.log.Write(
+      "order_sent",
+      {{"engine", order.engine.value()},
+       {"kind", order.kind == order_kind::kLoad ? "load" : "unload"},
+       {"model", order.model.value()},
+       {"adapter", order.adapter.value()},
+       {"expected", std::to_string(expected)},
+       {"fencing", std::to_string(host_.duty.fencing_number())},
+       {"from_store", order.from_store ? "yes" : "no"},
+       {"demand_per_copy", std::to_string(order.demand_per_copy)},
+       {"displaced_per_copy", std::to_string(order.displaced_per_copy)},
+       {"answer", detail}});
+  return result;
+}
+
+std::optional<serving::engine_report> placement_runner::Report(
+    const endpoint_id& id, boost::asio::yield_context yield) {
+  const auto* engine = host_.fleet.Find(id);
+  if (engine == nullptr) return std::nullopt;
+  const auto started_ms = engine->record.started_ms;
+  auto lease = host_.connections.Take(id, engine->record.address, kOrderTimeout,
+                                      kOrderTimeout, yield);
+  if (!lease) return std::nullopt;
+  if (!lease->connection->Send(host_.dialect.ReportRequest(id), kOrderTimeout,
+                               yield, true)) {
+    return std::nullopt;
+  }
+  const auto head = lease->connection->ReadHead(kOrderTimeout, yield);
+  if (!head || head->status != 200) return std::nullopt;
+  const auto body =
+      lease->connection->ReadRest(1024 * 1024, kOrderTimeout, yield);
+  if (!body) return std::nullopt;
+  host_.connections.Return(id, std::move(*lease), kOrderTimeout);
+  auto report = host_.dialect.ReadReport(*body);
+  if (!report) {
+    host_.log.Write("report_unreadable", {{"engine", id.value()},
+                                          {"detail", report.error().detail}});
+    return std::nullopt;
+  }
+  if (report->started_ms != 0 && report->started_ms != started_ms) {
+    return std::nullopt;
+  }
+  return std::move(*report);
+}
+
+void placement_runner::OnWant(const serving::adapter_want& want) {
+  if (!host_.duty.MayAct()) return;
+  if (!wanted_.insert({want.model, want.adapter}).second) return;
+  gateway::SpawnTask(host_.io, [this, want](auto yield) {
+    LoadAdapter(want, yield);
+    wanted_.erase({want.model, want.adapter});
+  });
+}
+
+void placement_runner::LoadAdapter(const serving::adapter_want& want,
+                                   boost::asio::yield_context yield) {
+  for (int orders = 0; orders < kMostAdapterOrders;) {
+    if (!host_.duty.MayAct()) return;
+    const auto order = NextAdapterOrder(want);
+    if (!order) return;
+    auto& work = WorkOf(order->engine);
+    if (work.sending) {
+      Pause(kAdapterStep, yield);
+      continue;
+    }
+    ++orders;
+    const auto result = Send(*order, yield);
+    if (result != order_result::kAccepted && result != order_result::kHolds) {
+      continue;
+    }
+    if (order->kind == order_kind::kLoad && result == order_result::kAccepted) {
+      // Reserves the place while the adapter is on its way.
+      WorkOf(order->engine);
+      Pause(kAdapterLoad, yield);
+    }
+    auto& notice = WorkOf(order->engine).notice;
+    const std::pair<model_id, adapter_id> pair(order->model, order->adapter);
+    if (order->kind == order_kind::kLoad) {
+      notice.removed_adapters.erase(pair);
+      notice.added[order->model].insert(order->adapter);
+    } else {
+      notice.removed_adapters.insert(pair);
+      const auto added = notice.added.find(order->model);
+      if (added != notice.added.end()) added->second.erase(order->adapter);
+    }
+    Publish(order->engine);
+    if (order->kind == order_kind::kLoad) return;
+  }
+}
+
+std::optional<placement_order> placement_runner::NextAdapterOrder(
+    const serving::adapter_want& want) const {
+  for (const auto& service : host_.config->services) {
+    if (!service.engine) continue;
+    double adapter_mb = 0;
+    std::map<model_id, double> sizes;
+    for (const auto& model : service.engine->models) {
+      sizes[model.id] = model.weights_mb;
+      if (model.id == want.model) adapter_mb = model.adapter_mb;
+    }
+    if (!sizes.count(want.model)) continue;
+    std::vector<serving::adapter_candidate> candidates;
+    for (const auto& [id, engine] : host_.fleet.engines()) {
+      if (engine.record.service != service.id || engine.record.leaving ||
+          engine.missing_since || !engine.HasModel(want.model)) {
+        continue;
+      }
+      serving::adapter_candidate candidate{id, engine.Resident(),
+                                           service.engine->adapter_slots,
+                                           service.engine->weights_mb};
+      for (const auto& [model, adapters] : candidate.resident) {
+        candidate.free_mb -= sizes[model];
+        candidate.free_mb -= adapter_mb * static_cast<double>(adapters.size());
+      }
+      candidates.push_back(std::move(candidate));
+    }
+    return serving::PlanAdapter(candidates, want.model, want.adapter,
+                                adapter_mb,
+                                [this](const auto& model, const auto& adapter) {
+                                  return AdapterRate(model, adapter);
+                                });
+  }
+  return std::nullopt;
+}
+
+// Makes the new state of an engine known here and at the other hosts.
+void placement_runner::Publish(const endpoint_id& id) {
+  auto& work = WorkOf(id);
+  work.notice.order_count = work.order_count;
+  work.has_notice = true;
+  work.noticed_at = host_.time.now();
+  host_.fleet.OnNotice(work.notice);
+  host_.changed.Notify();
+  exchange_.SendNow();
+}
+
+std::vector<serving::residency_notice> placement_runner::Notices() const {
+  std::vector<serving::residency_notice> recent;
+  if (!host_.duty.MayAct()) return recent;
+  const auto now = host_.time.now();
+  for (const auto& [id, work] : work_) {
+    if (work.has_notice && now - work.noticed_at < kNoticeLife) {
+      recent.push_back(work.notice);
+    }
+  }
+  return recent;
+}
+
+double placement_runner::AdapterRate(const model_id& model,
+                                     const adapter_id& adapter) const {
+  double rate = host_.demand.Of(model, adapter);
+  for (const auto& [host, uses] : exchange_.demand()) {
+    for (const auto& use : uses) {
+      if (use.model == model && use.adapter == adapter) {
+        rate += use.requests_per_s;
+      }
+    }
+  }
+  return rate;
+}
+
+void placement_runner::Pause(milliseconds span,
+                             boost::asio::yield_context yield) {
+  boost::asio::steady_timer timer(host_.io, span);
+  boost::system::error_code ignored;
+  timer.async_wait(yield[ignored]);
+}
+
+}  // namespace bluebell::edge
--- a/packages/fleet/fleet.cpp
+++ b/packages/fleet/fleet.cpp
@@ -16,8 +16,8 @@
 namespace {
 
 using nlohmann::json;
-using platform::object;
-using platform::object_list;
+using store::object;
+using store::object_list;
 using std::chrono::milliseconds;
 
 // Probes of the platform that may wait for an answer at the same time, so
@@ -46,7 +46,7 @@
 class fleet::impl {
  public:
   impl(const fleet_settings& settings, fleet_hooks hooks,
-       platform::object_store& store, peer::peer_network& network, clock& time,
+       store::object_store& store, peer::peer_network& network, clock& time,
        event_log& events);
   ~impl();
 
@@ -87,7 +87,7 @@
   void OnRecords(clock::time_point sent, const result<object_list>& found);
   void ChangeMembers();
   void OnMembersWritten(member_list written, clock::time_point sent,
-                        const platform::write_result& outcome);
+                        const store::write_result& outcome);
   void RemoveOldRecords();
   void FinishRelease();
 
@@ -105,7 +105,7 @@
 
   fleet_settings settings_;
   fleet_hooks hooks_;
-  platform::object_store& store_;
+  store::object_store& store_;
   peer::peer_network& network_;
   clock& time_;
   event_log& events_;
@@ -134,7 +134,7 @@
 };
 
 fleet::impl::impl(const fleet_settings& settings, fleet_hooks hooks,
-                  platform::object_store& store, peer::peer_network& network,
+                  store::object_store& store, peer::peer_network& network,
                   clock& time, event_log& events)
     : settings_(settings),
       hooks_(std::move(hooks)),
@@ -336,14 +336,14 @@
   const auto sent = now();
   store_.Put(
       kMembershipName, ToJson(*next), list_.version,
-      Guard([this, next = *next, sent](const platform::write_result& outcome) {
+      Guard([this, next = *next, sent](const store::write_result& outcome) {
         changing_members_ = false;
         OnMembersWritten(next, sent, outcome);
       }));
 }
 
 void fleet::impl::OnMembersWritten(member_list written, clock::time_point sent,
-                                   const platform::write_result& outcome) {
+                                   const store::write_result& outcome) {
   if (released_) FinishRelease();
   if (!outcome) return;
   contact_.RecordOwnContact(sent);
@@ -369,7 +369,7 @@
     const bool kept = list_.Contains(host) || now() - entry.seen <= retention;
     if (kept || host == settings_.self) continue;
     store_.Remove(kHostPrefix + host.value(), entry.version,
-                  [](const platform::write_result&) {});
+                  [](const store::write_result&) {});
     return;
   }
 }
@@ -572,7 +572,7 @@
 
 result<std::unique_ptr<fleet>> fleet::Create(const fleet_settings& settings,
                                              fleet_hooks hooks,
-                                             platform::object_store& store,
+                                             store::object_store& store,
                                              peer::peer_network& network,
                                              clock& time, event_log& events) {
   const auto& addresses = settings.addresses;
--- a/packages/fleet/fleet.h
+++ b/packages/fleet/fleet.h
@@ -13,7 +13,7 @@
 #include "fleet/fleet_view.h"
 #include "fleet/host_record.h"
 #include "peer/peer_network.h"
-#include "platform/object_store.h"
+#include "store/object_store.h"
 
 namespace bluebell::fleet {
 
@@ -60,7 +60,7 @@
   /// setting is empty.
   static result<std::unique_ptr<fleet>> Create(const fleet_settings& settings,
                                                fleet_hooks hooks,
-                                               platform::object_store& store,
+                                               store::object_store& store,
                                                peer::peer_network& network,
                                                clock& time, event_log& events);
   ~fleet() override;
--- a/packages/fleet/lease_keeper.cpp
+++ b/packages/fleet/lease_keeper.cpp
@@ -7,8 +7,8 @@
 namespace bluebell::fleet {
 namespace {
 
-using platform::object;
-using platform::write_result;
+using store::object;
+using store::write_result;
 
 constexpr std::size_t kProcessIdLength = 16;
 
@@ -97,7 +97,7 @@
 // Learns from the record as it is what became of the last write.
 void lease_keeper::OnPresent(const std::optional<object>& present) {
   if (!present) {
-    version_ = revision(platform::object_store::kAbsent);
+    version_ = revision(store::object_store::kAbsent);
     return;
   }
   const auto record = ParseRecord(present->value);
--- a/packages/fleet/lease_keeper.h
+++ b/packages/fleet/lease_keeper.h
@@ -10,7 +10,7 @@
 #include "fleet/fleet_timing.h"
 #include "fleet/host_lease.h"
 #include "fleet/host_record.h"
-#include "platform/object_store.h"
+#include "store/object_store.h"
 
 namespace bluebell::fleet {
 
@@ -27,7 +27,7 @@
 class lease_keeper {
  public:
   struct environment {
-    platform::object_store& store;
+    store::object_store& store;
     clock& time;
     event_log& events;
     /// Whether the status at the present moment is outage.
@@ -71,9 +71,9 @@
   bool IsDue(revision list_version) const;
   void ReadRecord();
   void WriteRecord(revision list_version);
-  void OnWritten(const attempt& made, platform::write_result outcome);
+  void OnWritten(const attempt& made, store::write_result outcome);
   void OnEffective(const attempt& made, revision version);
-  void OnPresent(const std::optional<platform::object>& present);
+  void OnPresent(const std::optional<store::object>& present);
   void OnRival(revision version);
   void RetryLater();
   void FinishRelease();
--- a/packages/fleet/record_tracker.cpp
+++ b/packages/fleet/record_tracker.cpp
@@ -15,7 +15,7 @@
 
 // A version counts as seen when the answer arrived, which is after its write
 // took effect; the list vouches for absence only up to its request.
-void record_tracker::Update(const std::vector<platform::object>& items,
+void record_tracker::Update(const std::vector<store::object>& items,
                             clock::time_point sent, clock::time_point now) {
   if (updated_ && sent <= *updated_) return;
   updated_ = sent;
--- a/packages/fleet/record_tracker.h
+++ b/packages/fleet/record_tracker.h
@@ -8,7 +8,7 @@
 #include "base/clock.h"
 #include "base/ids.h"
 #include "fleet/host_record.h"
-#include "platform/object_store.h"
+#include "store/object_store.h"
 
 namespace bluebell::fleet {
 
@@ -26,7 +26,7 @@
 
   /// Takes in a complete list of the records, requested at `sent` and received
   /// at `now`. A list that was requested earlier than the last one is ignored.
-  void Update(const std::vector<platform::object>& items,
+  void Update(const std::vector<store::object>& items,
               clock::time_point sent, clock::time_point now);
 
   const std::map<host_id, entry>& entries() const { return entries_; }
--- a/packages/fleet/tests/simulation.h
+++ b/packages/fleet/tests/simulation.h
@@ -13,7 +13,7 @@
 #include "base/manual_clock.h"
 #include "fleet/fleet.h"
 #include "peer/memory_peer_network.h"
-#include "platform/memory_object_store.h"
+#include "store/memory_object_store.h"
 
 namespace bluebell::fleet {
 
@@ -22,35 +22,35 @@
 
 /// Runs the callbacks of a store on the clock of one host, so that a paused
 /// host sees no answer until it resumes.
-class host_store final : public platform::object_store {
+class host_store final : public store::object_store {
  public:
-  host_store(platform::memory_platform& platform, clock& time)
+  host_store(store::memory_platform& platform, clock& time)
       : store_(platform), time_(time) {}
 
-  platform::memory_faults& faults() { return store_.faults(); }
+  store::memory_faults& faults() { return store_.faults(); }
 
   void Get(const std::string& name,
-           std::function<void(result<platform::object>)> done) override {
+           std::function<void(result<store::object>)> done) override {
     store_.Get(name, Defer(std::move(done)));
   }
   void Put(const std::string& name, const nlohmann::json& value,
            std::optional<revision> expected,
-           std::function<void(platform::write_result)> done) override {
+           std::function<void(store::write_result)> done) override {
     store_.Put(name, value, expected, Defer(std::move(done)));
   }
   void Remove(const std::string& name, revision expected,
-              std::function<void(platform::write_result)> done) override {
+              std::function<void(store::write_result)> done) override {
     store_.Remove(name, expected, Defer(std::move(done)));
   }
   void List(const std::string& prefix,
-            std::function<void(result<platform::object_list>)> done) override {
+            std::function<void(result<store::object_list>)> done) override {
     store_.List(prefix, Defer(std::move(done)));
   }
   void Watch(const std::string& prefix, revision after, milliseconds wait,
-             std::function<void(result<platform::object_list>)> done) override {
+             std::function<void(result<store::object_list>)> done) override {
     store_.Watch(prefix, after, wait, Defer(std::move(done)));
   }
-  void ListHosts(std::function<void(result<std::vector<platform::listed_host>>)>
+  void ListHosts(std::function<void(result<std::vector<store::listed_host>>)>
                      done) override {
     store_.ListHosts(Defer(std::move(done)));
   }
@@ -71,7 +71,7 @@
 
   std::map<std::uint64_t, timer_handle> waiting_;
   std::uint64_t next_ = 0;
-  platform::memory_object_store store_;
+  store::memory_object_store store_;
   clock& time_;
 };
 
@@ -79,7 +79,7 @@
 /// rules that the packages with rights follow.
 class right_user {
  public:
-  right_user(fleet& view, platform::object_store& store, bool compares_terms,
+  right_user(fleet& view, store::object_store& store, bool compares_terms,
              int& acquired)
       : view_(view),
         store_(store),
@@ -97,14 +97,14 @@
   void Step() {
     if (busy_ || Uses() || !view_.HoldsLease()) return;
     busy_ = true;
-    store_.Get("right", [this](const result<platform::object>& found) {
+    store_.Get("right", [this](const result<store::object>& found) {
       busy_ = false;
       if (found || found.error().code == error_code::kNotFound) Decide(found);
     });
   }
 
  private:
-  void Decide(const result<platform::object>& found) {
+  void Decide(const result<store::object>& found) {
     const revision version = found ? found->version : revision(0);
     if (found) {
       const host_id holder(found->value.at("host").get<std::string>());
@@ -121,7 +121,7 @@
     busy_ = true;
     store_.Put("right",
                {{"host", view_.self().value()}, {"incarnation", term.value()}},
-               version, [this, term](const platform::write_result& outcome) {
+               version, [this, term](const store::write_result& outcome) {
                  busy_ = false;
                  if (outcome) {
                    held_ = term;
@@ -131,7 +131,7 @@
   }
 
   fleet& view_;
-  platform::object_store& store_;
+  store::object_store& store_;
   bool compares_terms_;
   int& acquired_;
   bool busy_ = false;
@@ -196,7 +196,7 @@
 
   host& operator[](const std::string& name) { return *hosts_.at(name); }
   peer::memory_network& network() { return network_; }
-  platform::memory_platform& platform() { return platform_; }
+  store::memory_platform& platform() { return platform_; }
   manual_clock& time() { return clock_; }
 
   void SetPaused(const std::string& name, bool paused) {
@@ -260,7 +260,7 @@
   fleet_timing timing_;
   manual_clock clock_;
   peer::memory_network network_;
-  platform::memory_platform platform_;
+  store::memory_platform platform_;
   std::map<std::string, std::unique_ptr<host>> hosts_;
   bool uses_rights_ = false;
   bool compares_terms_ = true;
--- a/packages/gateway/endpoint_connection.cpp
+++ b/packages/gateway/endpoint_connection.cpp
@@ -19,7 +19,7 @@
 namespace http = beast::http;
 using failure = boost::system::error_code;
 
-constexpr std::size_t kPartBytes = 16 * 1024;
+constexpr std::size_t kPartBytes = 4 * 1024;
 constexpr std::uint32_t kHeadBytes = 64 * 1024;
 
 error ToError(const failure& ended) {
@@ -32,15 +32,19 @@
 }  // namespace
 
 struct endpoint_connection::state {
-  explicit state(asio::io_context& context) : stream(context) {
-    parser.header_limit(kHeadBytes);
-    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+  explicit state(asio::io_context& context) : stream(context) { Reset(); }
+
+  void Reset() {
+    parser.emplace();
+    parser->header_limit(kHeadBytes);
+    parser->body_limit(std::numeric_limits<std::uint64_t>::max());
   }
 
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
-  http::response_parser<http::buffer_body> parser;
-  std::array<char, kPartBytes> part{};
+  std::optional<http::response_parser<http::buffer_body>> parser;
+  std::array<char, kPartBytes> part;
+  bool used = false;
 };
 
 endpoint_connection::endpoint_connection(std::unique_ptr<state> opened)
@@ -72,16 +76,19 @@
 
 result<void> endpoint_connection::Send(const http_request& request,
                                        std::chrono::milliseconds timeout,
-                                       asio::yield_context yield) {
+                                       asio::yield_context yield,
+                                       bool keep_alive) {
+  if (state_->used) state_->Reset();
+  state_->used = true;
   http::request<http::string_body> message;
   message.method_string(request.method);
   message.target(request.query.empty() ? request.path
                                        : request.path + "?" + request.query);
   message.version(11);
   for (const auto& field : request.fields.all()) {
-    message.set(field.name, field.value);
+    message.insert(field.name, field.value);
   }
-  message.keep_alive(false);
+  message.keep_alive(keep_alive);
   message.body() = request.body;
   message.prepare_payload();
   failure ended;
@@ -91,16 +98,36 @@
   return {};
 }
 
+void endpoint_connection::ExpectAnother() { state_->Reset(); }
+
+bool endpoint_connection::reusable() const {
+  const auto& parser = *state_->parser;
+  return parser.is_done() && parser.keep_alive() && !parser.need_eof() &&
+         state_->buffer.size() == 0;
+}
+
+bool endpoint_connection::quiet() {
+  auto& socket = state_->stream.socket();
+  char byte = 0;
+  failure ended;
+  socket.non_blocking(true, ended);
+  if (!ended) {
+    socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek,
+                   ended);
+  }
+  return ended == asio::error::would_block && state_->buffer.size() == 0;
+}
+
 result<http_answer> endpoint_connection::ReadHead(
     std::chrono::milliseconds timeout, asio::yield_context yield) {
   failure ended;
   state_->stream.expires_after(timeout);
-  http::async_read_header(state_->stream, state_->buffer, state_->parser,
+  http::async_read_header(state_->stream, state_->buffer, *state_->parser,
                           yield[ended]);
   if (ended) return tl::unexpected(ToError(ended));
   http_answer head;
-  head.status = state_->parser.get().result_int();
-  for (const auto& field : state_->parser.get()) {
+  head.status = state_->parser->get().result_int();
+  for (const auto& field : state_->parser->get()) {
     head.fields.Add(std::string(field.name_string()),
                     std::string(field.value()));
   }
@@ -109,7 +136,7 @@
 
 result<std::string> endpoint_connection::ReadPart(
     std::chrono::milliseconds timeout, asio::yield_context yield) {
-  auto& parser = state_->parser;
+  auto& parser = *state_->parser;
   while (!parser.is_done()) {
     parser.get().body().data = state_->part.data();
     parser.get().body().size = state_->part.size();
--- a/packages/gateway/endpoint_connection.h
+++ b/packages/gateway/endpoint_connection.h
@@ -11,10 +11,10 @@
 
 namespace bluebell::gateway {
 
-/// A connection to an endpoint that carries exactly one request.
+/// A connection to an endpoint that carries one request at a time.
 ///
-/// Connections are not reused: one that sat idle may be silent for good, and
-/// opening one costs a round trip of about a millisecond.
+/// Whether it is used again is its owner's choice: one that sat idle may be
+/// silent for good, and opening one costs a round trip of about a millisecond.
 class endpoint_connection {
  public:
   /// Error `kUnavailable`: no connection, and no byte was sent.
@@ -24,10 +24,11 @@
 
   ~endpoint_connection();
 
-  /// Sends the request. Every failure is `kOutcomeUnknown`.
+  /// Sends the request. Every failure is `kOutcomeUnknown`. With `keep_alive`
+  /// the endpoint may leave the connection open for another request.
   result<void> Send(const http_request& request,
                     std::chrono::milliseconds timeout,
-                    boost::asio::yield_context yield);
+                    boost::asio::yield_context yield, bool keep_alive = false);
   /// Reads status and header fields. Errors: `kTimeout`, `kOutcomeUnknown`.
   result<http_answer> ReadHead(std::chrono::milliseconds timeout,
                                boost::asio::yield_context yield);
@@ -40,6 +41,15 @@
   result<std::string> ReadRest(std::size_t limit,
                                std::chrono::milliseconds timeout,
                                boost::asio::yield_context yield);
+  /// Gives up the answer that was read and prepares for the next one, which the
+  /// endpoint sends without another request.
+  void ExpectAnother();
+  /// Whether the answer was read to its end, the endpoint leaves the
+  /// connection open, and nothing followed the answer.
+  bool reusable() const;
+  /// Whether the idle connection has neither ended nor received bytes that
+  /// nobody asked for.
+  bool quiet();
   /// Closes the connection; pending reads and writes end with an error.
   void Close();
 
--- a/packages/idempotency/record_deduplicator.cpp
+++ b/packages/idempotency/record_deduplicator.cpp
@@ -18,7 +18,7 @@
 constexpr unsigned kSweepShards = 256;
 constexpr const char* kUndecided = "an earlier attempt may have run";
 
-const revision kAbsent{platform::object_store::kAbsent};
+const revision kAbsent{store::object_store::kAbsent};
 
 problem OutcomeUnknown(const std::string& detail) {
   return {problem_code::kOutcomeUnknown, detail, executed::kUnknown};
@@ -69,7 +69,7 @@
 };
 
 result<std::unique_ptr<record_deduplicator>> record_deduplicator::Create(
-    const deduplicator_options& options, platform::object_store& store,
+    const deduplicator_options& options, store::object_store& store,
     peer::peer_network& peers, const fleet::fleet_view& fleet, clock& time,
     event_log& events) {
   const auto shortest =
@@ -88,7 +88,7 @@
 }
 
 record_deduplicator::record_deduplicator(const deduplicator_options& options,
-                                         platform::object_store& store,
+                                         store::object_store& store,
                                          peer::peer_network& peers,
                                          const fleet::fleet_view& fleet,
                                          clock& time, event_log& events)
@@ -191,13 +191,13 @@
              ToJson(MakeRecord(*current, record_state::kPending)),
              current->expected,
              [this, weak = std::weak_ptr<entry>(current)](
-                 const platform::write_result& outcome) {
+                 const store::write_result& outcome) {
                if (const auto live = weak.lock()) OnWritten(live, outcome);
              });
 }
 
 void record_deduplicator::OnWritten(const entry_ptr& current,
-                                    const platform::write_result& outcome) {
+                                    const store::write_result& outcome) {
   if (current->machine.state() != attempt_state::kWriting) return;
   if (outcome) {
     Confirm(current, *outcome);
@@ -228,7 +228,7 @@
 
 void record_deduplicator::ReadBack(const entry_ptr& current) {
   store_.Get(current->name, [this, weak = std::weak_ptr<entry>(current)](
-                                const result<platform::object>& found) {
+                                const result<store::object>& found) {
     if (const auto live = weak.lock()) OnRead(live, found);
   });
 }
@@ -237,7 +237,7 @@
 // If not it is repeated under the same condition, so that it takes effect once
 // even if both arrive.
 void record_deduplicator::OnRead(const entry_ptr& current,
-                                 const result<platform::object>& found) {
+                                 const result<store::object>& found) {
   if (current->machine.state() != attempt_state::kReadingBack) return;
   if (found) {
     Evaluate(current, *found);
@@ -263,7 +263,7 @@
 
 // Decides by the record that the platform holds.
 void record_deduplicator::Evaluate(const entry_ptr& current,
-                                   const platform::object& found) {
+                                   const store::object& found) {
   const auto held = ParseRecord(found.value);
   if (!held) {
     events_.Record(event_id::kRecordInvalid,
@@ -504,7 +504,7 @@
                                          sweep_account_.value(), sweep_shard_);
   sweep_shard_ = (sweep_shard_ + 1) % kSweepShards;
   store_.List(prefix, [this, alive = std::weak_ptr<char>(alive_)](
-                          const result<platform::object_list>& found) {
+                          const result<store::object_list>& found) {
     if (alive.expired() || !found) return;
     for (const auto& item : found->items) {
       if (MaySweep(item)) store_.Remove(item.name, item.version, [](auto) {});
@@ -514,7 +514,7 @@
 
 // An expired record is removed by its host or, if that host is no longer a
 // member, by any other.
-bool record_deduplicator::MaySweep(const platform::object& found) const {
+bool record_deduplicator::MaySweep(const store::object& found) const {
   const auto held = ParseRecord(found.value);
   if (!held || by_name_.count(found.name) != 0 || writer_.Find(found.name)) {
     return false;
--- a/packages/idempotency/record_deduplicator.h
+++ b/packages/idempotency/record_deduplicator.h
@@ -18,7 +18,7 @@
 #include "idempotency/record.h"
 #include "idempotency/record_writer.h"
 #include "peer/peer_network.h"
-#include "platform/object_store.h"
+#include "store/object_store.h"
 
 namespace bluebell::idempotency {
 
@@ -53,7 +53,7 @@
   /// outlive the returned object, which serves the peer message
   /// `record_query`.
   static result<std::unique_ptr<record_deduplicator>> Create(
-      const deduplicator_options& options, platform::object_store& store,
+      const deduplicator_options& options, store::object_store& store,
       peer::peer_network& peers, const fleet::fleet_view& fleet, clock& time,
       event_log& events);
   ~record_deduplicator() override;
@@ -74,7 +74,7 @@
   using entry_ptr = std::shared_ptr<entry>;
 
   record_deduplicator(const deduplicator_options& options,
-                      platform::object_store& store, peer::peer_network& peers,
+                      store::object_store& store, peer::peer_network& peers,
                       const fleet::fleet_view& fleet, clock& time,
                       event_log& events);
 
@@ -83,12 +83,12 @@
   void OnBeginLimit(const entry_ptr& current);
   void Write(const entry_ptr& current);
   void OnWritten(const entry_ptr& current,
-                 const platform::write_result& outcome);
+                 const store::write_result& outcome);
   void ReadBack(const entry_ptr& current);
-  void OnRead(const entry_ptr& current, const result<platform::object>& found);
+  void OnRead(const entry_ptr& current, const result<store::object>& found);
   void Retry(const entry_ptr& current,
              void (record_deduplicator::*step)(const entry_ptr&));
-  void Evaluate(const entry_ptr& current, const platform::object& found);
+  void Evaluate(const entry_ptr& current, const store::object& found);
   void Query(const entry_ptr& current, const record& other, revision version);
   void TakeOver(const entry_ptr& current, revision version);
   void Confirm(const entry_ptr& current, revision version);
@@ -107,10 +107,10 @@
 
   void ScheduleSweep();
   void SweepStep();
-  bool MaySweep(const platform::object& found) const;
+  bool MaySweep(const store::object& found) const;
 
   deduplicator_options options_;
-  platform::object_store& store_;
+  store::object_store& store_;
   peer::peer_network& peers_;
   const fleet::fleet_view& fleet_;
   clock& clock_;
--- a/packages/idempotency/record_writer.cpp
+++ b/packages/idempotency/record_writer.cpp
@@ -24,7 +24,7 @@
 
 }  // namespace
 
-record_writer::record_writer(platform::object_store& store, clock& time,
+record_writer::record_writer(store::object_store& store, clock& time,
                              event_log& events)
     : store_(store), clock_(time), events_(events), backoff_(kFirstBackoff) {}
 
@@ -72,7 +72,7 @@
   store_.Put(name, ToJson(current.value), current.expected,
              [this, name, attempt = current.value.attempt,
               alive = std::weak_ptr<char>(alive_)](
-                 const platform::write_result& outcome) {
+                 const store::write_result& outcome) {
                if (alive.expired()) return;
                --in_flight_;
                OnWritten(name, attempt, outcome);
@@ -82,7 +82,7 @@
 
 void record_writer::OnWritten(const std::string& name,
                               const std::string& attempt,
-                              const platform::write_result& outcome) {
+                              const store::write_result& outcome) {
   const auto found = jobs_.find(name);
   if (found == jobs_.end() || found->second.value.attempt != attempt) return;
   if (outcome) {
@@ -106,7 +106,7 @@
 }
 
 void record_writer::OnConflict(const std::string& name,
-                               const platform::write_error& lost) {
+                               const store::write_error& lost) {
   job& current = jobs_.at(name);
   const bool exists = lost.conflict && lost.conflict->current;
   const auto seen =
--- a/packages/idempotency/record_writer.h
+++ b/packages/idempotency/record_writer.h
@@ -7,7 +7,7 @@
 #include "base/clock.h"
 #include "base/event_log.h"
 #include "idempotency/record.h"
-#include "platform/object_store.h"
+#include "store/object_store.h"
 
 namespace bluebell::idempotency {
 
@@ -20,7 +20,7 @@
   /// Bytes of bodies kept at most; beyond it answers lose their body.
   static constexpr std::size_t kMaxBodyBytes = 32u << 20;
 
-  record_writer(platform::object_store& store, clock& time, event_log& events);
+  record_writer(store::object_store& store, clock& time, event_log& events);
 
   /// Replaces the record at version `expected`, or at any later version that
   /// still names the same attempt. A record of state `kNotRun` is dropped
@@ -42,12 +42,12 @@
   void Pump();
   void Write(const std::string& name);
   void OnWritten(const std::string& name, const std::string& attempt,
-                 const platform::write_result& outcome);
-  void OnConflict(const std::string& name, const platform::write_error& lost);
+                 const store::write_result& outcome);
+  void OnConflict(const std::string& name, const store::write_error& lost);
   void RetryLater(const std::string& name);
   void Erase(const std::string& name);
 
-  platform::object_store& store_;
+  store::object_store& store_;
   clock& clock_;
   event_log& events_;
   std::unordered_map<std::string, job> jobs_;
--- a/packages/idempotency/tests/record_deduplicator_test.cpp
+++ b/packages/idempotency/tests/record_deduplicator_test.cpp
@@ -110,7 +110,7 @@
   void CutPlatform(bool cut) { platform.faults().outage = cut; }
 
   manual_clock time;
-  platform::memory_platform platform;
+  store::memory_platform platform;
   peer::memory_network network;
   std::vector<host_id> ids;
   std::map<host_id, std::unique_ptr<process>> running;
--- a/packages/idempotency/tests/simulated_host.h
+++ b/packages/idempotency/tests/simulated_host.h
@@ -10,42 +10,42 @@
 #include "base/manual_clock.h"
 #include "fleet/fleet_view.h"
 #include "peer/memory_peer_network.h"
-#include "platform/memory_object_store.h"
+#include "store/memory_object_store.h"
 
 namespace bluebell::testing {
 
 /// A client of the in-memory platform whose answers wait while its host is
 /// paused, as those of a stopped process do.
-class host_object_store final : public platform::object_store {
+class host_object_store final : public store::object_store {
  public:
-  host_object_store(platform::memory_platform& shared, clock& host_clock)
+  host_object_store(store::memory_platform& shared, clock& host_clock)
       : inner_(shared), clock_(host_clock) {}
 
-  platform::memory_faults& faults() { return inner_.faults(); }
+  store::memory_faults& faults() { return inner_.faults(); }
 
   void Get(const std::string& name,
-           std::function<void(result<platform::object>)> done) override {
+           std::function<void(result<store::object>)> done) override {
     inner_.Get(name, OnHost(std::move(done)));
   }
   void Put(const std::string& name, const nlohmann::json& value,
            std::optional<revision> expected,
-           std::function<void(platform::write_result)> done) override {
+           std::function<void(store::write_result)> done) override {
     inner_.Put(name, value, expected, OnHost(std::move(done)));
   }
   void Remove(const std::string& name, revision expected,
-              std::function<void(platform::write_result)> done) override {
+              std::function<void(store::write_result)> done) override {
     inner_.Remove(name, expected, OnHost(std::move(done)));
   }
   void List(const std::string& prefix,
-            std::function<void(result<platform::object_list>)> done) override {
+            std::function<void(result<store::object_list>)> done) override {
     inner_.List(prefix, OnHost(std::move(done)));
   }
   void Watch(const std::string& prefix, revision after,
              std::chrono::milliseconds wait,
-             std::function<void(result<platform::object_list>)> done) override {
+             std::function<void(result<store::object_list>)> done) override {
     inner_.Watch(prefix, after, wait, OnHost(std::move(done)));
   }
-  void ListHosts(std::function<void(result<std::vector<platform::listed_host>>)>
+  void ListHosts(std::function<void(result<std::vector<store::listed_host>>)>
                      done) override {
     inner_.ListHosts(OnHost(std::move(done)));
   }
@@ -64,7 +64,7 @@
   }
 
   std::map<int, timer_handle> deliveries_;
-  platform::memory_object_store inner_;
+  store::memory_object_store inner_;
   clock& clock_;
   int next_ = 0;
 };
@@ -99,7 +99,7 @@
 template <class View>
 struct simulated_process {
   simulated_process(peer::memory_network& network,
-                    platform::memory_platform& shared, const host_id& id,
+                    store::memory_platform& shared, const host_id& id,
                     const incarnation_id& incarnation)
       : time(network.ClockOf(id)),
         events(time, id),
--- a/packages/limits/admission_factory.cpp
+++ b/packages/limits/admission_factory.cpp
@@ -17,7 +17,7 @@
 
 result<std::unique_ptr<admission>> MakeAdmission(
     admission_policy policy, config::snapshot& rows,
-    platform::object_store& store, peer::peer_network& peers,
+    store::object_store& store, peer::peer_network& peers,
     const fleet::fleet_view& fleet, clock& time, event_log& events) {
   switch (policy) {
     case admission_policy::kShares:
--- a/packages/limits/admission_factory.h
+++ b/packages/limits/admission_factory.h
@@ -10,7 +10,7 @@
 #include "fleet/fleet_view.h"
 #include "limits/admission.h"
 #include "peer/peer_network.h"
-#include "platform/object_store.h"
+#include "store/object_store.h"
 
 namespace bluebell::limits {
 
@@ -30,7 +30,7 @@
 /// Creates the admission of this host. The references must outlive it.
 result<std::unique_ptr<admission>> MakeAdmission(
     admission_policy policy, config::snapshot& rows,
-    platform::object_store& store, peer::peer_network& peers,
+    store::object_store& store, peer::peer_network& peers,
     const fleet::fleet_view& fleet, clock& time, event_log& events);
 
 }  // namespace bluebell::limits
--- a/packages/limits/bench/limits_benchmark.cpp
+++ b/packages/limits/bench/limits_benchmark.cpp
@@ -9,7 +9,7 @@
 #include "config/rows.h"
 #include "limits/fleet_admission.h"
 #include "peer/memory_peer_network.h"
-#include "platform/memory_object_store.h"
+#include "store/memory_object_store.h"
 
 namespace bluebell::limits {
 namespace {
@@ -69,8 +69,8 @@
   manual_clock time;
   config::snapshot rows;
   fixed_fleet fleet;
-  platform::memory_platform platform;
-  platform::memory_object_store store{platform};
+  store::memory_platform platform;
+  store::memory_object_store store{platform};
   peer::memory_network network{time};
   std::unique_ptr<peer::peer_network> peers{network.Attach(fleet.self())};
   event_log events{time, fleet.self()};
--- a/packages/limits/fleet_admission.cpp
+++ b/packages/limits/fleet_admission.cpp
@@ -22,7 +22,7 @@
 }  // namespace
 
 fleet_admission::fleet_admission(config::snapshot& rows,
-                                 platform::object_store& store,
+                                 store::object_store& store,
                                  peer::peer_network& peers,
                                  const fleet::fleet_view& fleet, clock& time,
                                  event_log& events)
--- a/packages/limits/fleet_admission.h
+++ b/packages/limits/fleet_admission.h
@@ -17,7 +17,7 @@
 #include "limits/share_ledger.h"
 #include "limits/token_bucket.h"
 #include "peer/peer_network.h"
-#include "platform/object_store.h"
+#include "store/object_store.h"
 
 namespace bluebell::limits {
 
@@ -27,7 +27,7 @@
  public:
   /// The references must outlive this object, which serves the peer messages
   /// `loan_request` and `loan_settle`.
-  fleet_admission(config::snapshot& rows, platform::object_store& store,
+  fleet_admission(config::snapshot& rows, store::object_store& store,
                   peer::peer_network& peers, const fleet::fleet_view& fleet,
                   clock& time, event_log& events);
 
--- a/packages/limits/share_ledger.cpp
+++ b/packages/limits/share_ledger.cpp
@@ -20,11 +20,11 @@
 // Age at which the list of hosts is read again; below the interval of steps.
 constexpr auto kHostsLifetime = std::chrono::milliseconds(100);
 
-const revision kAbsent{platform::object_store::kAbsent};
+const revision kAbsent{store::object_store::kAbsent};
 
 }  // namespace
 
-share_ledger::share_ledger(platform::object_store& store,
+share_ledger::share_ledger(store::object_store& store,
                            const fleet::fleet_view& fleet, lease_guard& guard,
                            clock& time, event_log& events,
                            parts_listener on_parts, lower_check may_lower)
@@ -66,13 +66,13 @@
   own.busy = true;
   store_.Get(BudgetName(account),
              [this, account, alive = std::weak_ptr<char>(alive_)](
-                 const result<platform::object>& found) {
+                 const result<store::object>& found) {
                if (!alive.expired()) OnRead(account, found);
              });
 }
 
 void share_ledger::OnRead(const account_id& account,
-                          const result<platform::object>& found) {
+                          const result<store::object>& found) {
   budget& own = budgets_[account];
   own.busy = false;
   if (found) {
@@ -89,7 +89,7 @@
 // Takes over the record as the platform holds it, and settles a write with an
 // unknown outcome.
 void share_ledger::Adopt(const account_id& account, budget& own,
-                         const std::optional<platform::object>& found) {
+                         const std::optional<store::object>& found) {
   const auto parsed = found ? ParseShareRecord(found->value) : share_record{};
   if (!parsed) {
     // Without a readable record no fraction is certain.
@@ -166,14 +166,14 @@
   const open_write sent{mine.stamp, mine.parts, guard_.span(), own.version};
   store_.Put(BudgetName(account), ToJson(next), own.version,
              [this, account, sent, next, alive = std::weak_ptr<char>(alive_)](
-                 const platform::write_result& outcome) {
+                 const store::write_result& outcome) {
                if (!alive.expired()) OnWritten(account, sent, next, outcome);
              });
 }
 
 void share_ledger::OnWritten(const account_id& account, const open_write& sent,
                              const share_record& next,
-                             const platform::write_result& outcome) {
+                             const store::write_result& outcome) {
   budget& own = budgets_[account];
   own.busy = false;
   // Hosts that collide on one record try again at different times.
--- a/packages/limits/share_ledger.h
+++ b/packages/limits/share_ledger.h
@@ -14,7 +14,7 @@
 #include "fleet/fleet_view.h"
 #include "limits/lease_guard.h"
 #include "limits/share_record.h"
-#include "platform/object_store.h"
+#include "store/object_store.h"
 
 namespace bluebell::limits {
 
@@ -33,7 +33,7 @@
   /// a lowered fraction is not given to others.
   using lower_check = std::function<bool(const account_id&, int parts)>;
 
-  share_ledger(platform::object_store& store, const fleet::fleet_view& fleet,
+  share_ledger(store::object_store& store, const fleet::fleet_view& fleet,
                lease_guard& guard, clock& time, event_log& events,
                parts_listener on_parts, lower_check may_lower);
 
@@ -72,16 +72,16 @@
   };
 
   void Read(const account_id& account, budget& own);
-  void OnRead(const account_id& account, const result<platform::object>& found);
+  void OnRead(const account_id& account, const result<store::object>& found);
   void Adopt(const account_id& account, budget& own,
-             const std::optional<platform::object>& found);
+             const std::optional<store::object>& found);
   void Decide(const account_id& account, budget& own);
   void Reclaim(budget& own, share_record& next);
   void Write(const account_id& account, budget& own, share_record next,
              const share& mine);
   void OnWritten(const account_id& account, const open_write& sent,
                  const share_record& next,
-                 const platform::write_result& outcome);
+                 const store::write_result& outcome);
   void Confirm(const account_id& account, budget& own, int parts,
                std::uint64_t span);
   void SetParts(const account_id& account, budget& own, int parts);
@@ -92,7 +92,7 @@
                     const share_record& after);
   int RecordedParts(const budget& own) const;
 
-  platform::object_store& store_;
+  store::object_store& store_;
   const fleet::fleet_view& fleet_;
   lease_guard& guard_;
   clock& clock_;
--- a/packages/limits/tests/share_ledger_cost_test.cpp
+++ b/packages/limits/tests/share_ledger_cost_test.cpp
@@ -6,7 +6,7 @@
 #include "config/snapshot.h"
 #include "limits/fleet_admission.h"
 #include "peer/memory_peer_network.h"
-#include "platform/memory_object_store.h"
+#include "store/memory_object_store.h"
 
 namespace bluebell::limits {
 namespace {
@@ -72,8 +72,8 @@
   manual_clock time_;
   config::snapshot rows_;
   counting_fleet fleet_;
-  platform::memory_platform platform_{time_};
-  platform::memory_object_store store_{platform_};
+  store::memory_platform platform_{time_};
+  store::memory_object_store store_{platform_};
   peer::memory_network network_{time_};
   std::unique_ptr<peer::peer_network> peers_{network_.Attach(fleet_.self())};
   event_log events_{time_, fleet_.self()};
--- a/packages/limits/tests/share_ledger_test.cpp
+++ b/packages/limits/tests/share_ledger_test.cpp
@@ -52,8 +52,8 @@
 
   const account_id account{"gallagher"};
   manual_clock time;
-  platform::memory_platform platform{time};
-  platform::memory_object_store store{platform};
+  store::memory_platform platform{time};
+  store::memory_object_store store{platform};
   event_log events{time, host_id("a")};
   expired_view view;
   lease_guard guard{view, time, events};
--- a/packages/limits/tests/simulated_fleet.h
+++ b/packages/limits/tests/simulated_fleet.h
@@ -250,7 +250,7 @@
 
   std::mt19937_64 random;
   manual_clock time;
-  platform::memory_platform platform;
+  store::memory_platform platform;
   peer::memory_network network;
   lease_model model;
   std::map<std::string, std::unique_ptr<process>> hosts;
--- a/packages/placement/controller.cpp
+++ b/packages/placement/controller.cpp
@@ -52,7 +52,7 @@
 controller::controller(clock& source, config::snapshot& rows,
                        routing::endpoint_view& endpoints,
                        const fleet::fleet_view& fleet,
-                       platform::object_store& store, order_sink& orders,
+                       store::object_store& store, order_sink& orders,
                        event_log* log, controller_options options)
     : clock_(source),
       rows_(rows),
--- a/packages/placement/controller.h
+++ b/packages/placement/controller.h
@@ -57,7 +57,7 @@
   /// All references must outlive the controller; `log` may be null.
   controller(clock& source, config::snapshot& rows,
              routing::endpoint_view& endpoints, const fleet::fleet_view& fleet,
-             platform::object_store& store, order_sink& orders, event_log* log,
+             store::object_store& store, order_sink& orders, event_log* log,
              controller_options options = {});
   ~controller();
 
--- a/packages/placement/controller_lease.cpp
+++ b/packages/placement/controller_lease.cpp
@@ -13,7 +13,7 @@
 
 controller_lease::controller_lease(const clock& source,
                                    const fleet::fleet_view& fleet,
-                                   platform::object_store& store)
+                                   store::object_store& store)
     : clock_(source),
       fleet_(fleet),
       store_(store),
@@ -37,13 +37,13 @@
   busy_ = true;
   store_.Get(kName,
              [self = std::weak_ptr<controller_lease*>(self_),
-              done = std::move(done)](const result<platform::object>& found) {
+              done = std::move(done)](const result<store::object>& found) {
                const auto lease = self.lock();
                if (!lease) return;
                (*lease)->busy_ = false;
                if (!found) {
                  if (found.error().code == error_code::kNotFound) {
-                   (*lease)->Write(platform::object_store::kAbsent, done);
+                   (*lease)->Write(store::object_store::kAbsent, done);
                  }
                  return;
                }
@@ -70,7 +70,7 @@
                                 {"released", true},
                                 {"writer", MakeUniqueId()}};
   store_.Put(kName, value, revision(version_),
-             [](const platform::write_result&) {});
+             [](const store::write_result&) {});
 }
 
 // Whether the lease is free, this host's own, or may be reclaimed.
@@ -96,7 +96,7 @@
                                 {"writer", writer}};
   store_.Put(kName, value, revision(expected),
              [self = std::weak_ptr<controller_lease*>(self_), writer,
-              done = std::move(done)](const platform::write_result& end) {
+              done = std::move(done)](const store::write_result& end) {
                if (const auto lease = self.lock()) {
                  (*lease)->OnWritten(writer, end, done);
                }
@@ -104,7 +104,7 @@
 }
 
 void controller_lease::OnWritten(const std::string& writer,
-                                 const platform::write_result& end,
+                                 const store::write_result& end,
                                  const std::function<void()>& done) {
   busy_ = false;
   if (end) {
@@ -137,7 +137,7 @@
   busy_ = true;
   store_.Get(kName,
              [self = std::weak_ptr<controller_lease*>(self_), writer,
-              done = std::move(done)](const result<platform::object>& found) {
+              done = std::move(done)](const result<store::object>& found) {
                const auto lease = self.lock();
                if (!lease) return;
                (*lease)->busy_ = false;
--- a/packages/placement/controller_lease.h
+++ b/packages/placement/controller_lease.h
@@ -7,7 +7,7 @@
 
 #include "base/clock.h"
 #include "fleet/fleet_view.h"
-#include "platform/object_store.h"
+#include "store/object_store.h"
 
 namespace bluebell::placement {
 
@@ -28,7 +28,7 @@
   static constexpr std::chrono::milliseconds kMaxCheckGap{900};
 
   controller_lease(const clock& source, const fleet::fleet_view& fleet,
-                   platform::object_store& store);
+                   store::object_store& store);
 
   /// Tries to acquire the lease, if no attempt is under way. `done` is called
   /// only after success.
@@ -51,7 +51,7 @@
  private:
   void Observe();
   void Write(std::uint64_t expected, std::function<void()> done);
-  void OnWritten(const std::string& writer, const platform::write_result& end,
+  void OnWritten(const std::string& writer, const store::write_result& end,
                  const std::function<void()>& done);
   void Hold(std::uint64_t version, const std::function<void()>& done);
   void ReadBack(const std::string& writer, std::function<void()> done);
@@ -59,7 +59,7 @@
 
   const clock& clock_;
   const fleet::fleet_view& fleet_;
-  platform::object_store& store_;
+  store::object_store& store_;
   bool held_ = false;
   bool busy_ = false;
   bool releasing_ = false;
--- a/packages/placement/intent_log.cpp
+++ b/packages/placement/intent_log.cpp
@@ -13,7 +13,7 @@
 
 }  // namespace
 
-intent_log::intent_log(platform::object_store& store, merge_function merge)
+intent_log::intent_log(store::object_store& store, merge_function merge)
     : store_(store), merge_(std::move(merge)) {
   Reset();
 }
@@ -26,7 +26,7 @@
 void intent_log::ReadAll(std::function<void()> done) {
   store_.List(kPrefix, [self = std::weak_ptr<intent_log*>(self_),
                         done = std::move(done)](
-                           const result<platform::object_list>& found) {
+                           const result<store::object_list>& found) {
     const auto log = self.lock();
     if (!log || !found) return;
     for (const auto& item : found->items) {
@@ -53,7 +53,7 @@
   }
   store_.Put(NameOf(engine), value, revision(known.version),
              [self = std::weak_ptr<intent_log*>(self_), engine, writer, targets,
-              done = std::move(done)](const platform::write_result& end) {
+              done = std::move(done)](const store::write_result& end) {
                if (const auto log = self.lock()) {
                  (*log)->OnWritten(engine, writer, targets, end, done);
                }
@@ -68,7 +68,7 @@
 
 void intent_log::OnWritten(const endpoint_id& engine, const std::string& writer,
                            std::set<std::string> targets,
-                           const platform::write_result& end,
+                           const store::write_result& end,
                            const std::function<void()>& done) {
   record& known = records_[engine];
   if (end) {
@@ -98,7 +98,7 @@
                         std::function<void()> done) {
   store_.Get(NameOf(engine),
              [self = std::weak_ptr<intent_log*>(self_), engine, writer, targets,
-              done = std::move(done)](const result<platform::object>& found) {
+              done = std::move(done)](const result<store::object>& found) {
                const auto log = self.lock();
                if (!log) return;
                record& known = (*log)->records_[engine];
@@ -118,7 +118,7 @@
 // Takes over version and loads of an object that this controller did not
 // write. Until the next write, nothing counts as covered.
 void intent_log::Merge(const endpoint_id& engine,
-                       const platform::object& found) {
+                       const store::object& found) {
   record& known = records_[engine];
   known.version = found.version.value();
   known.written.clear();
--- a/packages/placement/intent_log.h
+++ b/packages/placement/intent_log.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "base/ids.h"
-#include "platform/object_store.h"
+#include "store/object_store.h"
 
 namespace bluebell::placement {
 
@@ -27,7 +27,7 @@
   /// Receives loads that another controller may have ordered.
   using merge_function = std::function<void(const endpoint_id&, const loads&)>;
 
-  intent_log(platform::object_store& store, merge_function merge);
+  intent_log(store::object_store& store, merge_function merge);
 
   /// Reads the intents of all engines; `done` is called only after success.
   void ReadAll(std::function<void()> done);
@@ -50,13 +50,13 @@
 
   void OnWritten(const endpoint_id& engine, const std::string& writer,
                  std::set<std::string> targets,
-                 const platform::write_result& end,
+                 const store::write_result& end,
                  const std::function<void()>& done);
   void Reread(const endpoint_id& engine, const std::string& writer,
               std::set<std::string> targets, std::function<void()> done);
-  void Merge(const endpoint_id& engine, const platform::object& found);
+  void Merge(const endpoint_id& engine, const store::object& found);
 
-  platform::object_store& store_;
+  store::object_store& store_;
   merge_function merge_;
   std::map<endpoint_id, record> records_;
   /// Replaced at each reset, so that answers of an earlier term are ignored.
--- a/packages/placement/tests/controller_test.cpp
+++ b/packages/placement/tests/controller_test.cpp
@@ -12,7 +12,7 @@
   void Build(std::uint64_t seed, int engines, int models, int adapters,
              std::int64_t model_size, bool mixed = true) {
     fleet_ = std::make_unique<fake_fleet>(clock_, seed);
-    platform_ = std::make_unique<platform::memory_platform>(clock_);
+    platform_ = std::make_unique<store::memory_platform>(clock_);
     for (int i = 0; i < engines; ++i) {
       const bool checks = mixed ? i % 2 == 0 : true;
       fleet_->Add("e" + std::to_string(i), "z" + std::to_string(i % 3), 100,
@@ -67,7 +67,7 @@
   manual_clock clock_;
   fake_leases leases_{clock_};
   std::unique_ptr<fake_fleet> fleet_;
-  std::unique_ptr<platform::memory_platform> platform_;
+  std::unique_ptr<store::memory_platform> platform_;
   std::vector<std::unique_ptr<fake_host>> hosts_;
 };
 
--- a/packages/placement/tests/fake_fleet.h
+++ b/packages/placement/tests/fake_fleet.h
@@ -15,7 +15,7 @@
 #include "fleet/fleet_view.h"
 #include "placement/controller.h"
 #include "placement/order_sink.h"
-#include "platform/memory_object_store.h"
+#include "store/memory_object_store.h"
 #include "routing/endpoint_poller.h"
 #include "routing/endpoint_view.h"
 
@@ -282,38 +282,38 @@
 };
 
 /// A platform client whose answers wait while the host is paused.
-class gated_store final : public platform::object_store {
+class gated_store final : public store::object_store {
  public:
-  gated_store(platform::memory_platform& shared, host_gate& gate)
+  gated_store(store::memory_platform& shared, host_gate& gate)
       : client(shared), gate_(gate) {}
 
   void Get(const std::string& name,
-           std::function<void(result<platform::object>)> done) override {
+           std::function<void(result<store::object>)> done) override {
     client.Get(name, gate_.Wrap(std::move(done)));
   }
   void Put(const std::string& name, const nlohmann::json& value,
            std::optional<revision> expected,
-           std::function<void(platform::write_result)> done) override {
+           std::function<void(store::write_result)> done) override {
     client.Put(name, value, expected, gate_.Wrap(std::move(done)));
   }
   void Remove(const std::string& name, revision expected,
-              std::function<void(platform::write_result)> done) override {
+              std::function<void(store::write_result)> done) override {
     client.Remove(name, expected, gate_.Wrap(std::move(done)));
   }
   void List(const std::string& prefix,
-            std::function<void(result<platform::object_list>)> done) override {
+            std::function<void(result<store::object_list>)> done) override {
     client.List(prefix, gate_.Wrap(std::move(done)));
   }
   void Watch(const std::string& prefix, revision after, milliseconds wait,
-             std::function<void(result<platform::object_list>)> done) override {
+             std::function<void(result<store::object_list>)> done) override {
     client.Watch(prefix, after, wait, gate_.Wrap(std::move(done)));
   }
-  void ListHosts(std::function<void(result<std::vector<platform::listed_host>>)>
+  void ListHosts(std::function<void(result<std::vector<store::listed_host>>)>
                      done) override {
     client.ListHosts(gate_.Wrap(std::move(done)));
   }
 
-  platform::memory_object_store client;
+  store::memory_object_store client;
 
  private:
   host_gate& gate_;
@@ -347,7 +347,7 @@
                         public order_sink {
  public:
   fake_host(const std::string& name, fake_fleet& engines, fake_leases& leases,
-            platform::memory_platform& shared, controller_options options = {})
+            store::memory_platform& shared, controller_options options = {})
       : fleet(engines),
         leases(leases),
         id(name),
--- /dev/null
+++ b/packages/serving/copy_planner.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "serving/engine_record.h"
+
+namespace bluebell::serving {
+
+enum class order_kind { kLoad, kUnload };
+
+/// One order to an engine; with an adapter it concerns only that.
+struct placement_order {
+  order_kind kind = order_kind::kLoad;
+  endpoint_id engine;
+  model_id model;
+  adapter_id adapter;
+  /// The load reads from the weight store, whose rate is limited.
+  bool from_store = false;
+  /// Requests per second and copy of the model before the order, and of the
+  /// models that make way: the gain that the order expects.
+  double demand_per_copy = 0;
+  double displaced_per_copy = 0;
+};
+
+/// An engine as the planner sees it.
+struct planned_engine {
+  endpoint_id id;
+  double weights_mb = 0;
+  resident_models resident;
+  std::set<model_id> in_memory;
+  std::set<model_id> on_disk;
+  /// An order is under way, so the engine takes no other.
+  bool busy = false;
+  /// The model that is being loaded; counts as a copy and as memory.
+  std::optional<model_id> loading;
+};
+
+/// Demand for one model over all hosts, requests per second.
+struct model_demand {
+  /// Over about a second: what must be served now.
+  double recent = 0;
+  /// Over tens of seconds: what is likely to be asked for again.
+  double lasting = 0;
+};
+
+struct planner_input {
+  std::vector<model_spec> models;
+  std::vector<planned_engine> engines;
+  std::map<model_id, model_demand> demand;
+  /// Requests per second that one copy serves without delay.
+  double comfortable_per_copy = 10;
+  /// Loads from the weight store that may start now.
+  int store_loads = 0;
+};
+
+/// Decides which copies of models to load and unload.
+///
+/// Every model keeps a copy. Further copies follow the demand of seconds; the
+/// copy that is missed least makes way, never the last one of a model. Loads
+/// from an engine's own memory or disk go before loads from the weight store.
+///
+/// Load pattern: a few models receive most requests, which these are changes
+/// every ten seconds, engines crash and come back empty, and rare models are
+/// asked for at once.
+std::vector<placement_order> PlanCopies(const planner_input& input);
+
+}  // namespace bluebell::serving
--- /dev/null
+++ b/packages/serving/engine_fleet.cpp
@@ -0,0 +1,292 @@
+#include "serving/engine_fleet.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace bluebell::serving {
+namespace {
+
+// Start values of the averages: the work of a plain request and the first
+// token of a short prompt take tens of milliseconds.
+constexpr double kStartAnswerSeconds = 0.03;
+constexpr double kStartHeldSeconds = 0.2;
+// Weight of the newest sample in the averages.
+constexpr double kSampleWeight = 0.1;
+// Weight of the newest outcome in the share of failures: an engine that fails
+// everything is found after three sends.
+constexpr double kOutcomeWeight = 0.25;
+// Time after which half of a share of failures is forgotten, so that an
+// engine that recovered is tried again.
+constexpr double kForgiveSeconds = 2.0;
+// Seconds that a certain failure is worth in comparison with a late answer.
+constexpr double kFailureSeconds = 1.0;
+// One way to another zone and back.
+constexpr double kOtherZoneSeconds = 0.004;
+// Random part of a cost, so that hosts with the same picture do not all choose
+// the same engine.
+constexpr double kSpread = 0.25;
+
+void Average(double& value, double sample) {
+  value += kSampleWeight * (sample - value);
+}
+
+double Seconds(clock::duration span) {
+  return std::chrono::duration<double>(span).count();
+}
+
+}  // namespace
+
+int engine_fleet::state::InFlight() const {
+  int total = own_in_flight;
+  for (const auto& [host, count] : others_in_flight) total += count;
+  return total;
+}
+
+bool engine_fleet::state::HasModel(const model_id& model) const {
+  const bool noticed = notice && notice->order_count >= record.order_count;
+  if (noticed && notice->removed.count(model)) return false;
+  if (record.resident.count(model)) return true;
+  return noticed && notice->added.count(model);
+}
+
+bool engine_fleet::state::HasAdapter(const model_id& model,
+                                     const adapter_id& adapter) const {
+  if (!HasModel(model)) return false;
+  const bool noticed = notice && notice->order_count >= record.order_count;
+  if (noticed) {
+    if (notice->removed_adapters.count({model, adapter})) return false;
+    const auto added = notice->added.find(model);
+    if (added != notice->added.end() && added->second.count(adapter)) {
+      return true;
+    }
+  }
+  const auto listed = record.resident.find(model);
+  return listed != record.resident.end() && listed->second.count(adapter);
+}
+
+resident_models engine_fleet::state::Resident() const {
+  resident_models models = record.resident;
+  if (!notice || notice->order_count < record.order_count) return models;
+  for (const auto& [model, adapters] : notice->added) {
+    models[model].insert(adapters.begin(), adapters.end());
+  }
+  for (const auto& [model, adapter] : notice->removed_adapters) {
+    const auto found = models.find(model);
+    if (found != models.end()) found->second.erase(adapter);
+  }
+  for (const auto& model : notice->removed) models.erase(model);
+  return models;
+}
+
+void engine_fleet::Replace(std::vector<engine_record> records,
+                           bool keep_missing) {
+  std::set<endpoint_id> listed;
+  std::set<std::string> addresses;
+  for (auto& record : records) {
+    listed.insert(record.id);
+    addresses.insert(record.address);
+    auto [entry, added] = engines_.try_emplace(record.id);
+    auto& engine = entry->second;
+    const bool restarted =
+        !added && engine.record.started_ms != record.started_ms;
+    if (added || restarted) {
+      engine = {};
+      engine.answer_s = kStartAnswerSeconds;
+      engine.held_s = kStartHeldSeconds;
+      misdirected_.erase(record.id);
+    }
+    engine.missing_since.reset();
+    engine.record = std::move(record);
+    if (engine.notice &&
+        (engine.notice->started_ms != engine.record.started_ms ||
+         engine.notice->order_count < engine.record.order_count)) {
+      engine.notice.reset();
+    }
+  }
+  for (auto entry = engines_.begin(); entry != engines_.end();) {
+    auto& engine = entry->second;
+    if (listed.count(entry->first)) {
+      ++entry;
+      continue;
+    }
+    if (keep_missing && !addresses.count(engine.record.address)) {
+      if (!engine.missing_since) engine.missing_since = clock_.now();
+      ++entry;
+    } else if (engine.own_in_flight > 0) {
+      // Requests still run there; their ends refer to the entry.
+      engine.record.leaving = true;
+      ++entry;
+    } else {
+      entry = engines_.erase(entry);
+    }
+  }
+}
+
+void engine_fleet::OnNotice(const residency_notice& notice) {
+  auto* engine = Find(notice.engine);
+  if (engine == nullptr || engine->record.started_ms != notice.started_ms ||
+      engine->record.order_count > notice.order_count) {
+    return;
+  }
+  if (engine->notice && engine->notice->order_count > notice.order_count) {
+    return;
+  }
+  engine->notice = notice;
+}
+
+void engine_fleet::OnAbsent(const endpoint_id& engine,
+                            const engine_need& need) {
+  auto* found = Find(engine);
+  if (found == nullptr) return;
+  // The record is corrected in place; the next listing replaces it.
+  auto& resident = found->record.resident;
+  const auto model = resident.find(need.model);
+  if (need.adapter.value().empty()) {
+    if (model != resident.end()) resident.erase(model);
+    if (found->notice) found->notice->added.erase(need.model);
+    return;
+  }
+  if (model != resident.end()) model->second.erase(need.adapter);
+  if (found->notice) {
+    const auto added = found->notice->added.find(need.model);
+    if (added != found->notice->added.end()) added->second.erase(need.adapter);
+  }
+}
+
+void engine_fleet::OnMisdirected(const endpoint_id& engine) {
+  misdirected_.insert(engine);
+}
+
+void engine_fleet::OnPeerLoad(const host_id& sender,
+                              const std::map<endpoint_id, int>& in_flight) {
+  for (auto& [id, engine] : engines_) {
+    const auto count = in_flight.find(id);
+    if (count == in_flight.end()) {
+      engine.others_in_flight.erase(sender);
+    } else {
+      engine.others_in_flight[sender] = count->second;
+    }
+  }
+}
+
+void engine_fleet::OnPeerGone(const host_id& sender) {
+  for (auto& [id, engine] : engines_) engine.others_in_flight.erase(sender);
+}
+
+double engine_fleet::WaitSeconds(const state& engine) const {
+  const int slots = std::max(1, engine.record.slots);
+  const int over = engine.InFlight() + 1 - slots;
+  return over <= 0 ? 0 : engine.held_s * over / slots;
+}
+
+// Expected seconds to the first answer, with the failures of the last seconds
+// counted as lost time.
+double engine_fleet::Cost(const state& engine, const engine_need& need) const {
+  const double taken =
+      static_cast<double>(engine.InFlight()) / std::max(1, engine.record.slots);
+  double cost = engine.answer_s * (0.5 + taken) + WaitSeconds(engine);
+  const double age = Seconds(clock_.now() - engine.failed_at);
+  cost += kFailureSeconds * engine.failing *
+          std::exp2(-std::max(0.0, age) / kForgiveSeconds);
+  if (engine.record.zone != own_zone_) cost += kOtherZoneSeconds;
+  if (engine.missing_since) cost += kFailureSeconds;
+  (void)need;
+  return cost;
+}
+
+engine_choice engine_fleet::Choose(const engine_need& need,
+                                   clock::duration within,
+                                   const std::set<endpoint_id>& excluded) {
+  engine_choice choice;
+  bool has_model = false;
+  double best_cost = 0;
+  double least_wait = 0;
+  std::uniform_real_distribution<double> spread(1.0, 1.0 + kSpread);
+  for (const auto& [id, engine] : engines_) {
+    if (engine.record.service != need.service || engine.record.leaving ||
+        misdirected_.count(id) || excluded.count(id)) {
+      continue;
+    }
+    if (choice.status == choice_status::kNoEngine) {
+      choice.status = choice_status::kNoModel;
+    }
+    if (!need.model.value().empty()) {
+      if (!engine.HasModel(need.model)) continue;
+      has_model = true;
+      if (!need.adapter.value().empty() &&
+          !engine.HasAdapter(need.model, need.adapter)) {
+        continue;
+      }
+    }
+    const double wait = WaitSeconds(engine);
+    if (choice.status != choice_status::kChosen &&
+        (choice.status != choice_status::kBusy || wait < least_wait)) {
+      choice.status = choice_status::kBusy;
+      least_wait = wait;
+    }
+    if (wait > Seconds(within)) continue;
+    const double cost = Cost(engine, need) * spread(random_);
+    if (choice.status != choice_status::kChosen || cost < best_cost) {
+      choice.status = choice_status::kChosen;
+      choice.engine = id;
+      best_cost = cost;
+    }
+  }
+  if (choice.status == choice_status::kNoModel && has_model) {
+    choice.status = choice_status::kNoAdapter;
+  }
+  choice.wait = std::chrono::duration_cast<clock::duration>(
+      std::chrono::duration<double>(least_wait));
+  return choice;
+}
+
+double engine_fleet::TakenShare(const engine_need& need) const {
+  int slots = 0;
+  int taken = 0;
+  for (const auto& [id, engine] : engines_) {
+    if (engine.record.service != need.service || engine.record.leaving) {
+      continue;
+    }
+    if (!need.model.value().empty() && !engine.HasModel(need.model)) continue;
+    slots += engine.record.slots;
+    taken += engine.InFlight();
+  }
+  return slots == 0 ? 1.0 : static_cast<double>(taken) / slots;
+}
+
+void engine_fleet::OnSend(const endpoint_id& engine) {
+  auto* found = Find(engine);
+  if (found != nullptr) ++found->own_in_flight;
+}
+
+void engine_fleet::OnEnd(const endpoint_id& engine,
+                         const send_outcome& outcome) {
+  auto* found = Find(engine);
+  if (found == nullptr) return;
+  found->own_in_flight = std::max(0, found->own_in_flight - 1);
+  const auto now = clock_.now();
+  const double age = std::max(0.0, Seconds(now - found->failed_at));
+  const double before = found->failing * std::exp2(-age / kForgiveSeconds);
+  found->failing =
+      before + kOutcomeWeight * ((outcome.failed ? 1.0 : 0.0) - before);
+  found->failed_at = now;
+  if (outcome.first_answer) {
+    Average(found->answer_s, Seconds(*outcome.first_answer));
+    if (!outcome.failed) Average(found->held_s, Seconds(outcome.held));
+  }
+}
+
+engine_fleet::state* engine_fleet::Find(const endpoint_id& engine) {
+  const auto found = engines_.find(engine);
+  return found == engines_.end() ? nullptr : &found->second;
+}
+
+std::map<endpoint_id, int> engine_fleet::OwnInFlight() const {
+  std::map<endpoint_id, int> counts;
+  for (const auto& [id, engine] : engines_) {
+    if (engine.own_in_flight > 0) counts[id] = engine.own_in_flight;
+  }
+  return counts;
+}
+
+}  // namespace bluebell::serving
--- /dev/null
+++ b/packages/serving/engine_fleet.h
@@ -0,0 +1,147 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "serving/engine_record.h"
+
+namespace bluebell::serving {
+
+/// What the placement holder knows of an engine beyond its stored record.
+struct residency_notice {
+  endpoint_id engine;
+  std::int64_t started_ms = 0;
+  std::int64_t order_count = 0;
+  resident_models added;
+  /// Models on their way out of memory.
+  std::set<model_id> removed;
+  /// Removed adapters, as model and adapter.
+  std::set<std::pair<model_id, adapter_id>> removed_adapters;
+};
+
+/// What a request needs of an engine.
+struct engine_need {
+  service_id service;
+  /// Empty for plain services.
+  model_id model;
+  /// Empty if the request names no adapter.
+  adapter_id adapter;
+  /// Prompt tokens; 0 for plain services.
+  double prompt_tokens = 0;
+};
+
+/// How one send to an engine ended.
+struct send_outcome {
+  bool failed = false;
+  /// Time to the answer or to the first event; none if there was none.
+  std::optional<clock::duration> first_answer;
+  /// Time during which the request held a slot.
+  clock::duration held{0};
+};
+
+enum class choice_status {
+  kChosen,
+  /// The service has no endpoint that accepts work.
+  kNoEngine,
+  /// No engine has the model.
+  kNoModel,
+  /// Engines have the model but none has the adapter.
+  kNoAdapter,
+  /// Every engine that could run it is too busy to answer in time.
+  kBusy,
+};
+
+struct engine_choice {
+  choice_status status = choice_status::kNoEngine;
+  endpoint_id engine;
+  /// For `kBusy`: expected wait at the least busy engine.
+  clock::duration wait{0};
+};
+
+/// One host's picture of all endpoints and its choice among them.
+///
+/// The picture joins the stored records, the placement holder's notices, the
+/// load that each endpoint states in its answers, the requests that this and
+/// the other hosts have in flight, and the outcome of recent sends. Health
+/// answers are not used: engines that fail or stall are found by outcomes.
+///
+/// Load pattern: engines of one service differ in speed by a factor of three,
+/// some turn slow or fail part of their requests while they look healthy, and
+/// bursts fill a few of them.
+class engine_fleet {
+ public:
+  struct state {
+    engine_record record;
+    std::optional<residency_notice> notice;
+    int own_in_flight = 0;
+    /// Requests in flight from each other host.
+    std::map<host_id, int> others_in_flight;
+    /// Average time to the first answer, seconds.
+    double answer_s = 0;
+    /// Average time that a request holds a slot, seconds.
+    double held_s = 0;
+    /// Recent share of failed sends, 0 to 1.
+    double failing = 0;
+    clock::time_point failed_at;
+    /// Set while the record is missing but may come back.
+    std::optional<clock::time_point> missing_since;
+
+    int InFlight() const;
+    bool HasModel(const model_id& model) const;
+    bool HasAdapter(const model_id& model, const adapter_id& adapter) const;
+    /// Resident models: the record corrected by the notice.
+    resident_models Resident() const;
+  };
+
+  engine_fleet(const clock& source, zone_id own_zone, std::uint64_t seed)
+      : clock_(source), own_zone_(std::move(own_zone)), random_(seed) {}
+
+  /// Replaces the records by those the store lists now. Records that lapsed
+  /// while the store was away come back shortly after, so with
+  /// `keep_missing` the engines of missing records stay in use; they are
+  /// removed by a later call without it.
+  void Replace(std::vector<engine_record> records, bool keep_missing);
+  void OnNotice(const residency_notice& notice);
+  /// The engine said that it does not have the model or adapter.
+  void OnAbsent(const endpoint_id& engine, const engine_need& need);
+  /// The address belongs to another endpoint now.
+  void OnMisdirected(const endpoint_id& engine);
+  void OnPeerLoad(const host_id& sender,
+                  const std::map<endpoint_id, int>& in_flight);
+  void OnPeerGone(const host_id& sender);
+
+  /// Chooses the engine with the least expected time to the first answer.
+  /// `within` is the longest wait for a free slot that is worth it;
+  /// `excluded` names engines that were tried.
+  engine_choice Choose(const engine_need& need, clock::duration within,
+                       const std::set<endpoint_id>& excluded);
+  /// Share of the places of the service's engines that are taken.
+  double TakenShare(const engine_need& need) const;
+
+  void OnSend(const endpoint_id& engine);
+  void OnEnd(const endpoint_id& engine, const send_outcome& outcome);
+
+  state* Find(const endpoint_id& engine);
+  const std::map<endpoint_id, state>& engines() const { return engines_; }
+  std::map<endpoint_id, int> OwnInFlight() const;
+
+ private:
+  // Expected wait for a free slot, seconds.
+  double WaitSeconds(const state& engine) const;
+  double Cost(const state& engine, const engine_need& need) const;
+
+  const clock& clock_;
+  zone_id own_zone_;
+  std::mt19937_64 random_;
+  std::map<endpoint_id, state> engines_;
+  std::set<endpoint_id> misdirected_;
+};
+
+}  // namespace bluebell::serving
--- /dev/null
+++ b/packages/serving/engine_record.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/ids.h"
+#include "serving/serving_config.h"
+
+namespace bluebell::serving {
+
+/// The models that an engine has in accelerator memory, each with the adapters
+/// loaded for it.
+using resident_models = std::map<model_id, std::set<adapter_id>>;
+
+/// What one endpoint says of itself.
+struct engine_record {
+  endpoint_id id;
+  service_id service;
+  /// `IPv4:port`.
+  std::string address;
+  zone_id zone;
+  /// Requests processed at once.
+  int slots = 1;
+  /// Accepts no new work soon.
+  bool leaving = false;
+  /// Start of this run of the endpoint, Unix milliseconds; an endpoint that
+  /// restarts under its id has a new value.
+  std::int64_t started_ms = 0;
+  /// Orders accepted since the start.
+  std::int64_t order_count = 0;
+  resident_models resident;
+  /// Copies of weights that load faster than from the weight store.
+  std::set<model_id> in_memory;
+  std::set<model_id> on_disk;
+};
+
+/// An engine's own report, fresher than its record.
+struct engine_report {
+  std::int64_t started_ms = 0;
+  std::int64_t order_count = 0;
+  /// A model is being loaded or unloaded.
+  bool busy = false;
+  resident_models resident;
+  std::set<model_id> in_memory;
+  std::set<model_id> on_disk;
+};
+
+}  // namespace bluebell::serving
--- /dev/null
+++ b/packages/serving/placement_duty.cpp
@@ -0,0 +1,62 @@
+#include "serving/placement_duty.h"
+
+namespace bluebell::serving {
+
+// A record of this process that it did not know of stems from a write whose
+// answer was lost. It is a grant, but of unknown age: it is renewed before use.
+void placement_duty::OnRead(const duty_record& read, clock::time_point sent) {
+  (void)sent;
+  if (read_once_ && read.revision == known_.revision) return;
+  if (read_once_ && read.revision < known_.revision) return;  // a stale answer
+  const bool was_own = read_once_ && IsOwn(known_) && !known_.released;
+  known_ = read;
+  read_once_ = true;
+  unchanged_since_ = clock_.now();
+  if (!IsOwn(read) || read.released) {
+    renewed_.reset();
+  } else if (!was_own) {
+    fencing_number_ = read.revision;
+  }
+}
+
+std::optional<duty_record> placement_duty::NextWrite() const {
+  if (!read_once_) return std::nullopt;
+  const auto now = clock_.now();
+  const bool own = IsOwn(known_) && !known_.released;
+  if (resigned_) {
+    if (!own) return std::nullopt;
+    return duty_record{known_.revision, self_, incarnation_, true};
+  }
+  const duty_record wanted{known_.revision, self_, incarnation_, false};
+  if (own) {
+    if (renewed_ && now - *renewed_ < kRenewal) return std::nullopt;
+    return wanted;
+  }
+  // Orders of two processes on one host count as orders of one holder.
+  if (known_.revision == 0 || known_.holder == self_) return wanted;
+  const auto silence =
+      pause_ + kMargin +
+      (known_.released ? clock::duration(0) : clock::duration(kValidity));
+  if (now - unchanged_since_ < silence) return std::nullopt;
+  return wanted;
+}
+
+void placement_duty::OnWritten(std::uint64_t revision, bool released,
+                               clock::time_point sent) {
+  const bool was_own = IsOwn(known_) && !known_.released;
+  known_ = {revision, self_, incarnation_, released};
+  unchanged_since_ = clock_.now();
+  if (released) {
+    renewed_.reset();
+    return;
+  }
+  if (!was_own) fencing_number_ = revision;
+  renewed_ = sent;
+}
+
+bool placement_duty::MayAct() const {
+  return !resigned_ && IsOwn(known_) && !known_.released && renewed_ &&
+         clock_.now() - *renewed_ < kValidity;
+}
+
+}  // namespace bluebell::serving
--- /dev/null
+++ b/packages/serving/shared_quota.cpp
@@ -0,0 +1,124 @@
+#include "serving/shared_quota.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace bluebell::serving {
+namespace {
+
+// Weight of a host that sees no demand, relative to the account's rate, so
+// that its first request is not refused.
+constexpr double kIdleWeight = 0.03;
+// Time over which the demand at this host is averaged.
+constexpr double kDemandSeconds = 1.0;
+
+double Seconds(clock::duration span) {
+  return std::chrono::duration<double>(span).count();
+}
+
+}  // namespace
+
+void shared_quota::SetLimit(const account_id& account, double tokens_per_s,
+                            double burst_tokens) {
+  auto [entry, added] = buckets_.try_emplace(account);
+  auto& bucket = entry->second;
+  // A new host cannot know what was spent just before, so it starts empty.
+  if (added) bucket.refilled = clock_.now();
+  bucket.rate = tokens_per_s;
+  bucket.burst = burst_tokens;
+  bucket.level = std::min(bucket.level, burst_tokens);
+  bucket.own_part = std::min(bucket.own_part, std::max(0.0, bucket.level));
+}
+
+bool shared_quota::Take(const account_id& account, double tokens) {
+  const auto found = buckets_.find(account);
+  if (found == buckets_.end() || found->second.rate <= 0) return true;
+  auto& bucket = found->second;
+  bucket.asked_since += tokens;
+  if (bucket.own_part < tokens) return false;
+  bucket.own_part -= tokens;
+  bucket.level -= tokens;
+  bucket.spent += tokens;
+  return true;
+}
+
+double shared_quota::SecondsUntil(const account_id& account,
+                                  double tokens) const {
+  const auto found = buckets_.find(account);
+  if (found == buckets_.end() || found->second.rate <= 0) return 0;
+  const auto& bucket = found->second;
+  const double missing = tokens - std::min(bucket.level, bucket.own_part);
+  return std::max(0.0, missing / bucket.rate);
+}
+
+void shared_quota::OnReport(const host_id& sender,
+                            const std::string& incarnation,
+                            clock::duration uptime,
+                            const std::vector<quota_use>& uses) {
+  auto& peer = peers_[sender];
+  if (peer.incarnation != incarnation) {
+    // What an older host spent before this host started is already refilled
+    // or belongs to a time in which this host's bucket was empty.
+    const bool younger = uptime < clock_.now() - started_;
+    peer = {incarnation, {}, {}};
+    for (const auto& use : uses) {
+      peer.uses[use.account].spent = younger ? 0 : use.spent;
+    }
+  }
+  peer.heard = clock_.now();
+  for (const auto& use : uses) {
+    auto& known = peer.uses[use.account];
+    const auto bucket = buckets_.find(use.account);
+    if (bucket != buckets_.end() && use.spent > known.spent) {
+      bucket->second.level -= use.spent - known.spent;
+    }
+    known = {std::max(use.spent, known.spent), use.asked_per_s};
+  }
+}
+
+void shared_quota::Divide(clock::duration interval) {
+  const auto now = clock_.now();
+  for (auto entry = peers_.begin(); entry != peers_.end();) {
+    entry = now - entry->second.heard > kForgotten ? peers_.erase(entry)
+                                                   : std::next(entry);
+  }
+  const double since_divided = std::max(0.001, Seconds(now - divided_));
+  for (auto& [account, bucket] : buckets_) {
+    const double share = std::min(1.0, since_divided / kDemandSeconds);
+    bucket.asked_per_s +=
+        share * (bucket.asked_since / since_divided - bucket.asked_per_s);
+    bucket.asked_since = 0;
+    const double idle = kIdleWeight * bucket.rate;
+    const double own_weight = bucket.asked_per_s + idle;
+    double all_weights = own_weight;
+    double silent_weights = 0;
+    for (const auto& [id, peer] : peers_) {
+      const auto use = peer.uses.find(account);
+      const double weight =
+          idle + (use == peer.uses.end() ? 0 : use->second.asked_per_s);
+      all_weights += weight;
+      if (now - peer.heard > kSilent) silent_weights += weight;
+    }
+    const double heard_part = 1 - silent_weights / all_weights;
+    const double refill = bucket.rate * heard_part;
+    bucket.level =
+        std::min(bucket.burst * heard_part,
+                 bucket.level + refill * Seconds(now - bucket.refilled));
+    bucket.refilled = now;
+    const double available = bucket.level + refill * Seconds(interval);
+    bucket.own_part =
+        std::max(0.0, available * own_weight / (all_weights - silent_weights));
+  }
+  divided_ = now;
+}
+
+std::vector<quota_use> shared_quota::Uses() const {
+  std::vector<quota_use> uses;
+  for (const auto& [account, bucket] : buckets_) {
+    if (bucket.rate <= 0) continue;
+    uses.push_back({account, bucket.spent, bucket.asked_per_s});
+  }
+  return uses;
+}
+
+}  // namespace bluebell::serving
--- a/packages/platform/http_object_store.cpp
+++ b/packages/store/http_object_store.cpp
@@ -1,4 +1,4 @@
-#include "platform/http_object_store.h"
+#include "store/http_object_store.h"
 
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
@@ -14,7 +14,7 @@
 
 #include "base/address.h"
 
-namespace bluebell::platform {
+namespace bluebell::store {
 namespace {
 
 namespace asio = boost::asio;
@@ -518,4 +518,4 @@
                 });
 }
 
-}  // namespace bluebell::platform
+}  // namespace bluebell::store
--- a/packages/platform/http_object_store.h
+++ b/packages/store/http_object_store.h
@@ -6,9 +6,9 @@
 #include <string>
 #include <vector>
 
-#include "platform/object_store.h"
+#include "store/object_store.h"
 
-namespace bluebell::platform {
+namespace bluebell::store {
 
 struct http_store_options {
   /// Addresses of the platform, `IPv4:port`. A call starts with the one that
@@ -61,4 +61,4 @@
   std::shared_ptr<client> client_;
 };
 
-}  // namespace bluebell::platform
+}  // namespace bluebell::store
--- a/packages/platform/memory_object_store.cpp
+++ b/packages/store/memory_object_store.cpp
@@ -1,10 +1,10 @@
-#include "platform/memory_object_store.h"
+#include "store/memory_object_store.h"
 
 #include <list>
 #include <map>
 #include <utility>
 
-namespace bluebell::platform {
+namespace bluebell::store {
 namespace {
 
 using count_field = std::int64_t call_counts::*;
@@ -397,4 +397,4 @@
       std::move(done));
 }
 
-}  // namespace bluebell::platform
+}  // namespace bluebell::store
--- a/packages/platform/memory_object_store.h
+++ b/packages/store/memory_object_store.h
@@ -8,9 +8,9 @@
 #include <vector>
 
 #include "base/clock.h"
-#include "platform/object_store.h"
+#include "store/object_store.h"
 
-namespace bluebell::platform {
+namespace bluebell::store {
 
 /// Faults that tests switch on and off, for the whole platform or for one
 /// client. Counters fall by one with each call they affect.
@@ -111,4 +111,4 @@
   std::shared_ptr<client> client_;
 };
 
-}  // namespace bluebell::platform
+}  // namespace bluebell::store
--- a/packages/platform/object_store.h
+++ b/packages/store/object_store.h
@@ -10,7 +10,7 @@
 #include "base/ids.h"
 #include "base/result.h"
 
-namespace bluebell::platform {
+namespace bluebell::store {
 
 /// One object of the platform's object API.
 struct object {
@@ -84,4 +84,4 @@
       std::function<void(result<std::vector<listed_host>>)> done) = 0;
 };
 
-}  // namespace bluebell::platform
+}  // namespace bluebell::store
--- a/packages/platform/tests/http_object_store_test.cpp
+++ b/packages/store/tests/http_object_store_test.cpp
@@ -1,4 +1,4 @@
-#include "platform/http_object_store.h"
+#include "store/http_object_store.h"
 
 #include <gtest/gtest.h>
 
@@ -12,7 +12,7 @@
 
 #include "standins/http_server.h"
 
-namespace bluebell::platform {
+namespace bluebell::store {
 namespace {
 
 using standins::http_exchange;
@@ -186,4 +186,4 @@
 }
 
 }  // namespace
-}  // namespace bluebell::platform
+}  // namespace bluebell::store
--- a/packages/platform/tests/memory_object_store_test.cpp
+++ b/packages/store/tests/memory_object_store_test.cpp
@@ -1,4 +1,4 @@
-#include "platform/memory_object_store.h"
+#include "store/memory_object_store.h"
 
 #include <gtest/gtest.h>
 
@@ -7,7 +7,7 @@
 
 #include "base/manual_clock.h"
 
-namespace bluebell::platform {
+namespace bluebell::store {
 namespace {
 
 using std::chrono::milliseconds;
@@ -78,4 +78,4 @@
 }
 
 }  // namespace
-}  // namespace bluebell::platform
+}  // namespace bluebell::store
--- a/packages/platform/tests/object_store_contract_test.cpp
+++ b/packages/store/tests/object_store_contract_test.cpp
@@ -5,10 +5,10 @@
 #include <tuple>
 #include <vector>
 
-#include "platform/object_store.h"
+#include "store/object_store.h"
 #include "store_harness.h"
 
-namespace bluebell::platform {
+namespace bluebell::store {
 namespace {
 
 using std::chrono::milliseconds;
@@ -323,4 +323,4 @@
                          });
 
 }  // namespace
-}  // namespace bluebell::platform
+}  // namespace bluebell::store
--- a/packages/platform/tests/store_harness.cpp
+++ b/packages/store/tests/store_harness.cpp
@@ -6,11 +6,11 @@
 
 #include "base/asio_clock.h"
 #include "base/manual_clock.h"
-#include "platform/http_object_store.h"
-#include "platform/memory_object_store.h"
+#include "store/http_object_store.h"
+#include "store/memory_object_store.h"
 #include "standins/platform_standin.h"
 
-namespace bluebell::platform {
+namespace bluebell::store {
 namespace {
 
 using std::chrono::milliseconds;
@@ -122,4 +122,4 @@
   return std::make_unique<http_harness>(call_limit);
 }
 
-}  // namespace bluebell::platform
+}  // namespace bluebell::store
--- a/packages/platform/tests/store_harness.h
+++ b/packages/store/tests/store_harness.h
@@ -6,9 +6,9 @@
 #include <optional>
 #include <string>
 
-#include "platform/object_store.h"
+#include "store/object_store.h"
 
-namespace bluebell::platform {
+namespace bluebell::store {
 
 /// Faults that the contract tests inject into either implementation.
 enum class store_fault {
@@ -47,4 +47,4 @@
 std::unique_ptr<store_harness> MakeHttpHarness(
     std::chrono::milliseconds call_limit);
 
-}  // namespace bluebell::platform
+}  // namespace bluebell::store
