--- a/packages/edge/digest_exchange.cpp
+++ b/packages/edge/digest_exchange.cpp
@@ -21,6 +21,8 @@
 // The list of hosts changes when hosts are added or replaced.
 constexpr milliseconds kListInterval{4000};
 constexpr milliseconds kListRetry{300};
+// A want that was lost is repeated by the requests that wait for the adapter.
+constexpr milliseconds kWantInterval{80};
 // A host that said nothing for this long gets digests only if it is listed.
 constexpr std::chrono::seconds kForgotten{10};
 
@@ -76,6 +78,12 @@
                     {{"from", from}, {"detail", digest.error().detail}});
     return;
   }
+  for (const auto& notice : digest->notices) host_.fleet.OnNotice(notice);
+  if (!digest->notices.empty()) host_.changed.Notify();
+  if (on_want) {
+    for (const auto& want : digest->wants) on_want(want);
+  }
+  if (digest->partial) return;
   const bool known = host_.directory.peers().count(digest->host) > 0;
   if (!host_.directory.OnDigest(*digest, from)) return;
   if (!known) {
@@ -88,11 +96,6 @@
                        milliseconds(digest->uptime_ms), digest->quota_uses);
   if (digest->leaving) host_.fleet.OnPeerGone(digest->host);
   demand_[digest->host] = digest->demand;
-  if (on_want) {
-    for (const auto& want : digest->wants) on_want(want);
-  }
-  for (const auto& notice : digest->notices) host_.fleet.OnNotice(notice);
-  if (!digest->notices.empty()) host_.changed.Notify();
   if (digest->hello) SendTo(from, serving::EncodeDigest(Compose()));
 }
 
@@ -102,6 +105,7 @@
     host_.quota.Divide(interval);
     SendToAll();
     host_.connections.CloseExpired();
+    wants_told_.clear();
     for (const auto& silent : host_.directory.TakeSilent()) {
       host_.fleet.OnPeerGone(silent);
       demand_.erase(silent);
@@ -146,13 +150,41 @@
   }
   const auto* placer = host_.directory.Placer();
   if (placer == nullptr) return;
-  auto digest = Compose();
+  const auto now = host_.time.now();
+  auto& told = wants_told_[{want.model, want.adapter}];
+  if (now - told < kWantInterval) return;
+  told = now;
+  serving::host_digest digest = Partial();
   digest.wants.push_back(want);
   SendTo(placer->digest_address, serving::EncodeDigest(digest));
 }
 
+void digest_exchange::SendNotice(const serving::residency_notice& notice) {
+  auto digest = Partial();
+  digest.notices.push_back(notice);
+  const auto bytes = serving::EncodeDigest(digest);
+  for (const auto& [id, address] : Targets()) SendTo(address, bytes);
+}
+
 void digest_exchange::SendNow() { SendToAll(); }
 
+serving::host_digest digest_exchange::Partial() const {
+  serving::host_digest digest;
+  digest.partial = true;
+  digest.host = host_.settings.id;
+  digest.incarnation = host_.incarnation;
+  return digest;
+}
+
+std::map<host_id, std::string> digest_exchange::Targets() const {
+  std::map<host_id, std::string> targets = listed_;
+  const auto now = host_.time.now();
+  for (const auto& [id, peer] : host_.directory.peers()) {
+    if (now - peer.heard < kForgotten) targets[id] = peer.digest_address;
+  }
+  return targets;
+}
+
 serving::host_digest digest_exchange::Compose() {
   serving::host_digest digest;
   digest.host = host_.settings.id;
@@ -174,11 +206,7 @@
 }
 
 void digest_exchange::SendToAll() {
-  std::map<host_id, std::string> targets = listed_;
-  const auto now = host_.time.now();
-  for (const auto& [id, peer] : host_.directory.peers()) {
-    if (now - peer.heard < kForgotten) targets[id] = peer.digest_address;
-  }
+  const auto targets = Targets();
   auto digest = Compose();
   const auto common = serving::EncodeDigest(digest);
   const auto* placer = host_.directory.Placer();
--- a/packages/edge/digest_exchange.h
+++ b/packages/edge/digest_exchange.h
@@ -32,6 +32,8 @@
 
   /// Tells the placement holder at once that a request waits for an adapter.
   void SendWant(const serving::adapter_want& want);
+  /// Tells every host of a change as the placement holder.
+  void SendNotice(const serving::residency_notice& notice);
   /// Sends a digest to every host now.
   void SendNow();
 
@@ -51,6 +53,8 @@
   void Receive(std::string_view bytes, const std::string& from);
   void SendTo(const std::string& address, const std::string& bytes);
   void SendToAll();
+  serving::host_digest Partial() const;
+  std::map<host_id, std::string> Targets() const;
   milliseconds Interval() const;
 
   edge_state& host_;
@@ -60,6 +64,8 @@
   /// Digest addresses from the store, by host.
   std::map<host_id, std::string> listed_;
   std::map<host_id, std::vector<serving::model_use>> demand_;
+  /// When the placement holder was told of a want.
+  std::map<std::pair<model_id, adapter_id>, clock::time_point> wants_told_;
 };
 
 }  // namespace bluebell::edge
--- a/packages/edge/edge_host.cpp
+++ b/packages/edge/edge_host.cpp
@@ -42,7 +42,7 @@
 }  // namespace
 
 struct edge_host::parts {
-  parts(boost::asio::io_context& context, const clock& source,
+  parts(boost::asio::io_context& context, clock& source,
         const edge_settings& settings, const request_dialect& dialect,
         deployment_store& store)
       : state(context, source, settings, dialect, store, NewIncarnation(),
@@ -62,7 +62,7 @@
 };
 
 result<std::unique_ptr<edge_host>> edge_host::Create(
-    boost::asio::io_context& context, const clock& source,
+    boost::asio::io_context& context, clock& source,
     const edge_settings& settings, const request_dialect& dialect,
     deployment_store& store) {
   auto created =
--- a/packages/edge/edge_host.h
+++ b/packages/edge/edge_host.h
@@ -18,7 +18,7 @@
   /// must outlive the host. Error `kUnavailable`: an address of the settings
   /// cannot be listened on.
   static result<std::unique_ptr<edge_host>> Create(
-      boost::asio::io_context& context, const clock& source,
+      boost::asio::io_context& context, clock& source,
       const edge_settings& settings, const request_dialect& dialect,
       deployment_store& store);
   ~edge_host();
--- a/packages/edge/edge_settings.cpp
+++ b/packages/edge/edge_settings.cpp
@@ -53,7 +53,7 @@
       Address("listen", "digests"),
       Address("store", "address"),
       // A call takes milliseconds; two lost ones leave time within the bounds.
-      Milliseconds("store", "timeout_ms", "800"),
+      Milliseconds("store", "timeout_ms", "700"),
       Milliseconds("bounds", "key_withdrawal_ms"),
       Milliseconds("bounds", "stop_grace_ms"),
       Milliseconds("bounds", "placement_pause_ms"),
--- a/packages/edge/edge_state.h
+++ b/packages/edge/edge_state.h
@@ -27,7 +27,7 @@
 
 /// What the parts of one entry host share. All of it is in memory only.
 struct edge_state {
-  edge_state(boost::asio::io_context& context, const clock& source,
+  edge_state(boost::asio::io_context& context, clock& source,
              edge_settings values, const request_dialect& wire,
              deployment_store& platform, std::string own_incarnation,
              std::uint64_t seed)
@@ -61,7 +61,7 @@
   }
 
   boost::asio::io_context& io;
-  const clock& time;
+  clock& time;
   const edge_settings settings;
   const request_dialect& dialect;
   deployment_store& store;
--- a/packages/edge/placement_runner.cpp
+++ b/packages/edge/placement_runner.cpp
@@ -23,10 +23,11 @@
 // An engine that refused an order is busy or counts other orders; its report
 // shows which with a lag of a few hundred milliseconds.
 constexpr milliseconds kAfterRefusal{250};
+// A notice is repeated in the digests of this time, since datagrams get lost.
+constexpr milliseconds kNoticeRepeats{700};
 // Time that an adapter takes from the store to an engine, at most, while few
 // are on their way.
 constexpr milliseconds kAdapterLoad{12};
-constexpr milliseconds kAdapterStep{4};
 // Orders for one adapter: some that make room, and the load.
 constexpr int kMostAdapterOrders = 4;
 // Time over which the lasting demand of a model is averaged.
@@ -127,7 +128,9 @@
       }
       for (auto& order : serving::PlanCopies(input)) {
         auto& work = WorkOf(order.engine);
-        if (work.busy || work.sending || now < work.refused_until) continue;
+        if (!IsFree(work) || !work.ledger.HasRoom(order, *service.engine)) {
+          continue;
+        }
         work.busy = true;
         if (order.from_store) store_loads_ -= 1;
         gateway::SpawnTask(
@@ -151,15 +154,21 @@
         engine.missing_since) {
       continue;
     }
-    const auto& work = WorkOf(id);
+    auto& work = WorkOf(id);
+    if (!work.ledger.known()) ReadLedger(id);
     serving::planned_engine planned;
     planned.id = id;
     planned.weights_mb = service.engine->weights_mb;
-    planned.resident = engine.Resident(now);
-    planned.in_memory = engine.record.in_memory;
-    planned.on_disk = engine.record.on_disk;
-    planned.busy = work.busy || work.sending;
-    planned.loading = work.loading;
+    // Before the first report the record tells what is there, so that copies
+    // are counted; the engine gets no order yet.
+    planned.resident =
+        work.ledger.known() ? work.ledger.resident() : engine.Resident(now);
+    planned.in_memory = work.ledger.in_memory();
+    planned.on_disk = work.ledger.on_disk();
+    planned.busy = !IsFree(work);
+    if (work.loading && !planned.resident.count(*work.loading)) {
+      planned.loading = work.loading;
+    }
     input.engines.push_back(std::move(planned));
     held += engine.held_s;
     slots += engine.record.slots;
@@ -197,30 +206,55 @@
   return work;
 }
 
+const serving::engine_spec* placement_runner::SpecOf(
+    const endpoint_id& id) const {
+  const auto* engine = host_.fleet.Find(id);
+  if (engine == nullptr || host_.config == nullptr) return nullptr;
+  const auto* service = host_.config->FindService(engine->record.service);
+  return service == nullptr || !service->engine ? nullptr : &*service->engine;
+}
+
+bool placement_runner::IsFree(const engine_work& work) const {
+  return work.ledger.known() && !work.ledger.busy() && !work.busy &&
+         !work.sending && host_.time.now() >= work.refused_until;
+}
+
+// Asks the engine what it holds, unless it was asked or refused just now.
+void placement_runner::ReadLedger(const endpoint_id& id) {
+  auto& work = WorkOf(id);
+  if (work.sending || work.busy || host_.time.now() < work.refused_until) {
+    return;
+  }
+  work.sending = true;
+  gateway::SpawnTask(host_.io, [this, id](auto yield) {
+    const auto report = Report(id, yield);
+    auto& asked = WorkOf(id);
+    asked.sending = false;
+    if (!report || report->busy) {
+      asked.refused_until = host_.time.now() + kAfterRefusal;
+    }
+    if (report && !report->busy) asked.ledger.OnReport(*report);
+  });
+}
+
 void placement_runner::CarryOut(placement_order order,
                                 boost::asio::yield_context yield) {
   const auto result = Send(order, yield);
-  auto& work = WorkOf(order.engine);
   if (result == order_result::kAccepted) {
     double expected_s = 1;
-    for (const auto& service : host_.config->services) {
-      if (!service.engine) continue;
-      for (const auto& model : service.engine->models) {
-        if (model.id == order.model && order.kind == order_kind::kLoad) {
-          expected_s =
-              order.from_store ? model.store_load_s : model.disk_load_s;
-        }
+    const auto* spec = SpecOf(order.engine);
+    if (spec != nullptr && order.kind == order_kind::kLoad) {
+      for (const auto& model : spec->models) {
+        if (model.id != order.model) continue;
+        expected_s = order.from_store ? model.store_load_s : model.disk_load_s;
       }
     }
     if (order.kind == order_kind::kLoad) {
-      work.loading = order.model;
+      WorkOf(order.engine).loading = order.model;
     } else {
       Publish(order.engine, order.model, {}, false);
     }
     AwaitEnd(order, expected_s, yield);
-  } else if (result == order_result::kHolds &&
-             order.kind == order_kind::kLoad) {
-    Publish(order.engine, order.model, {}, true);
   }
   auto& after = WorkOf(order.engine);
   after.busy = false;
@@ -241,31 +275,25 @@
     if (!host_.duty.MayAct() || host_.fleet.Find(order.engine) == nullptr) {
       return;
     }
-    if (report) {
+    if (report && !report->busy &&
+        report->order_count >= WorkOf(order.engine).ledger.order_count()) {
+      WorkOf(order.engine).ledger.OnReport(*report);
       const auto model = report->resident.find(order.model);
       const bool there =
           model != report->resident.end() &&
           (order.adapter.value().empty() || model->second.count(order.adapter));
-      const bool done = there == (order.kind == order_kind::kLoad);
-      if (done) {
-        Publish(order.engine, order.model, order.adapter, there);
-        host_.log.Write(
-            "order_done",
-            {{"engine", order.engine.value()},
-             {"model", order.model.value()},
-             {"adapter", order.adapter.value()},
-             {"kind", order.kind == order_kind::kLoad ? "load" : "unload"},
-             {"ms", std::to_string(std::chrono::duration_cast<milliseconds>(
-                                       host_.time.now() - begun)
-                                       .count())}});
-        return;
-      }
-      if (!report->busy && host_.time.now() - begun > std::chrono::seconds(1)) {
-        host_.log.Write(
-            "order_without_effect",
-            {{"engine", order.engine.value()}, {"model", order.model.value()}});
-        return;
-      }
+      Publish(order.engine, order.model, order.adapter, there);
+      host_.log.Write(
+          "order_done",
+          {{"engine", order.engine.value()},
+           {"model", order.model.value()},
+           {"adapter", order.adapter.value()},
+           {"kind", order.kind == order_kind::kLoad ? "load" : "unload"},
+           {"present", there ? "yes" : "no"},
+           {"ms", std::to_string(std::chrono::duration_cast<milliseconds>(
+                                     host_.time.now() - begun)
+                                     .count())}});
+      return;
     }
     Pause(kReportInterval, yield);
   }
@@ -273,48 +301,38 @@
 
 placement_runner::order_result placement_runner::Send(
     const placement_order& order, boost::asio::yield_context yield) {
-  auto& work = WorkOf(order.engine);
-  const auto started_ms = work.started_ms;
-  work.sending = true;
-  if (!work.count_known) {
-    const auto report = Report(order.engine, yield);
-    auto& known = WorkOf(order.engine);
-    if (!report || known.started_ms != started_ms) {
-      known.sending = false;
-      return order_result::kNoAnswer;
-    }
-    known.order_count = std::max(known.order_count, report->order_count);
-    known.count_known = true;
-  }
   const auto* engine = host_.fleet.Find(order.engine);
+  if (engine == nullptr) return order_result::kGone;
+  const std::string address = engine->record.address;
+  auto& before = WorkOf(order.engine);
+  before.sending = true;
+  const auto started_ms = before.started_ms;
+  const std::int64_t expected = before.ledger.order_count();
   auto result = order_result::kGone;
   std::string detail;
-  std::int64_t expected = WorkOf(order.engine).order_count;
-  if (engine != nullptr) {
-    auto lease = host_.connections.Take(order.engine, engine->record.address,
-                                        kOrderTimeout, kOrderTimeout, yield);
-    // Asked after the wait for the connection: the duty may have ended.
-    if (!lease) {
-      detail = lease.error().detail;
-    } else if (!host_.duty.MayAct()) {
-      detail = "duty ended";
-    } else {
-      const auto request = host_.dialect.OrderRequest(
-          {order, host_.settings.id, host_.duty.fencing_number(), expected});
-      result = order_result::kNoAnswer;
-      if (lease->connection->Send(request, kOrderTimeout, yield, true)) {
-        const auto head = lease->connection->ReadHead(kOrderTimeout, yield);
-        if (head) {
-          detail = std::to_string(head->status);
-          result = head->status == 202   ? order_result::kAccepted
-                   : head->status == 200 ? order_result::kHolds
-                                         : order_result::kRefused;
-          const auto body =
-              lease->connection->ReadRest(65536, kOrderTimeout, yield);
-          if (body) {
-            host_.connections.Return(order.engine, std::move(*lease),
-                                     kOrderTimeout);
-          }
+  auto lease = host_.connections.Take(order.engine, address, kOrderTimeout,
+                                      kOrderTimeout, yield);
+  // Asked after the wait for the connection: the duty may have ended.
+  if (!lease) {
+    detail = lease.error().detail;
+  } else if (!host_.duty.MayAct()) {
+    detail = "duty ended";
+  } else {
+    const auto request = host_.dialect.OrderRequest(
+        {order, host_.settings.id, host_.duty.fencing_number(), expected});
+    result = order_result::kNoAnswer;
+    if (lease->connection->Send(request, kOrderTimeout, yield, true)) {
+      const auto head = lease->connection->ReadHead(kOrderTimeout, yield);
+      if (head) {
+        detail = std::to_string(head->status);
+        result = head->status == 202   ? order_result::kAccepted
+                 : head->status == 200 ? order_result::kDone
+                                       : order_result::kRefused;
+        const auto body =
+            lease->connection->ReadRest(65536, kOrderTimeout, yield);
+        if (body) {
+          host_.connections.Return(order.engine, std::move(*lease),
+                                   kOrderTimeout);
         }
       }
     }
@@ -322,13 +340,13 @@
   auto& after = WorkOf(order.engine);
   if (after.started_ms == started_ms) {
     after.sending = false;
-    if (result == order_result::kAccepted) {
-      after.order_count = std::max(after.order_count, expected + 1);
-    } else if (result == order_result::kHolds &&
-               order.kind == order_kind::kUnload) {
-      after.order_count = std::max(after.order_count, expected + 1);
-    } else {
-      after.count_known = false;
+    const bool is_unload = order.kind == order_kind::kUnload;
+    if (result == order_result::kAccepted ||
+        (result == order_result::kDone && is_unload)) {
+      after.ledger.OnAccepted(order, result == order_result::kDone);
+    } else if (result != order_result::kGone) {
+      // A load that holds already does not count as accepted everywhere.
+      after.ledger.OnUncertain();
       after.refused_until = host_.time.now() + kAfterRefusal;
     }
   }
@@ -352,8 +370,9 @@
   const auto* engine = host_.fleet.Find(id);
   if (engine == nullptr) return std::nullopt;
   const auto started_ms = engine->record.started_ms;
-  auto lease = host_.connections.Take(id, engine->record.address, kOrderTimeout,
-                                      kOrderTimeout, yield);
+  const std::string address = engine->record.address;
+  auto lease =
+      host_.connections.Take(id, address, kOrderTimeout, kOrderTimeout, yield);
   if (!lease) return std::nullopt;
   if (!lease->connection->Send(host_.dialect.ReportRequest(id), kOrderTimeout,
                                yield, true)) {
@@ -388,30 +407,31 @@
 
 void placement_runner::LoadAdapter(const serving::adapter_want& want,
                                    boost::asio::yield_context yield) {
-  for (int orders = 0; orders < kMostAdapterOrders;) {
+  // A host that missed the notice asks for what is there already.
+  for (const auto& [id, engine] : host_.fleet.engines()) {
+    const auto& resident = WorkOf(id).ledger.resident();
+    const auto model = resident.find(want.model);
+    if (!engine.record.leaving && model != resident.end() &&
+        model->second.count(want.adapter)) {
+      Publish(id, want.model, want.adapter, true);
+      return;
+    }
+  }
+  for (int orders = 0; orders < kMostAdapterOrders; ++orders) {
     if (!host_.duty.MayAct()) return;
     const auto order = NextAdapterOrder(want);
     if (!order) return;
-    auto& work = WorkOf(order->engine);
-    if (work.sending) {
-      Pause(kAdapterStep, yield);
-      continue;
-    }
-    ++orders;
     const auto result = Send(*order, yield);
-    if (result != order_result::kAccepted && result != order_result::kHolds) {
+    const bool loads = order->kind == order_kind::kLoad;
+    if (result != order_result::kAccepted && result != order_result::kDone) {
       continue;
     }
-    if (order->kind == order_kind::kLoad && result == order_result::kAccepted) {
-      // Its place is taken while it is on its way.
-      const std::pair<model_id, adapter_id> pair(order->model, order->adapter);
-      WorkOf(order->engine).coming.insert(pair);
-      Pause(kAdapterLoad, yield);
-      WorkOf(order->engine).coming.erase(pair);
+    if (loads) {
+      if (result == order_result::kAccepted) Pause(kAdapterLoad, yield);
+      Publish(order->engine, order->model, order->adapter, true);
+      return;
     }
-    Publish(order->engine, order->model, order->adapter,
-            order->kind == order_kind::kLoad);
-    if (order->kind == order_kind::kLoad) return;
+    Publish(order->engine, order->model, order->adapter, false);
     if (result == order_result::kAccepted) {
       // A run still uses the adapter that makes way; until it ends, the engine
       // takes no other order.
@@ -423,49 +443,33 @@
 }
 
 std::optional<placement_order> placement_runner::NextAdapterOrder(
-    const serving::adapter_want& want) const {
-  const auto now = host_.time.now();
-  for (const auto& service : host_.config->services) {
-    if (!service.engine) continue;
-    double adapter_mb = 0;
-    std::map<model_id, double> sizes;
-    for (const auto& model : service.engine->models) {
-      sizes[model.id] = model.weights_mb;
-      if (model.id == want.model) adapter_mb = model.adapter_mb;
-    }
-    if (!sizes.count(want.model)) continue;
-    std::vector<serving::adapter_candidate> candidates;
-    for (const auto& [id, engine] : host_.fleet.engines()) {
-      const auto work = work_.find(id);
-      const bool blocked =
-          work != work_.end() &&
-          (work->second.busy || now < work->second.refused_until);
-      if (engine.record.service != service.id || engine.record.leaving ||
-          engine.missing_since || blocked ||
-          !engine.HasModel(want.model, now)) {
-        continue;
-      }
-      serving::adapter_candidate candidate{id, engine.Resident(now),
-                                           service.engine->adapter_slots,
-                                           service.engine->weights_mb};
-      if (work != work_.end()) {
-        for (const auto& [model, adapter] : work->second.coming) {
-          candidate.resident[model].insert(adapter);
-        }
-      }
-      for (const auto& [model, adapters] : candidate.resident) {
-        candidate.free_mb -= sizes[model];
-        candidate.free_mb -= adapter_mb * static_cast<double>(adapters.size());
-      }
-      candidates.push_back(std::move(candidate));
-    }
-    return serving::PlanAdapter(candidates, want.model, want.adapter,
-                                adapter_mb,
-                                [this](const auto& model, const auto& adapter) {
-                                  return AdapterRate(model, adapter);
-                                });
+    const serving::adapter_want& want) {
+  const serving::engine_spec* spec = nullptr;
+  std::vector<serving::adapter_candidate> candidates;
+  for (const auto& [id, engine] : host_.fleet.engines()) {
+    if (engine.record.leaving || engine.missing_since) continue;
+    const auto& work = WorkOf(id);
+    if (!IsFree(work) || !work.ledger.resident().count(want.model)) continue;
+    const auto* own = SpecOf(id);
+    if (own == nullptr) continue;
+    spec = own;
+    candidates.push_back({id, work.ledger.resident(), own->adapter_slots,
+                          own->weights_mb - work.ledger.UsedMb(*own)});
+  }
+  if (spec == nullptr) return std::nullopt;
+  double adapter_mb = 0;
+  for (const auto& model : spec->models) {
+    if (model.id == want.model) adapter_mb = model.adapter_mb;
+  }
+  const auto order =
+      serving::PlanAdapter(candidates, want.model, want.adapter, adapter_mb,
+                           [this](const auto& model, const auto& adapter) {
+                             return AdapterRate(model, adapter);
+                           });
+  if (order && !WorkOf(order->engine).ledger.HasRoom(*order, *spec)) {
+    return std::nullopt;
   }
-  return std::nullopt;
+  return order;
 }
 
 // Makes a change known here and at the other hosts.
@@ -476,15 +480,14 @@
   notices_.emplace_back(notice, host_.time.now());
   host_.fleet.OnNotice(notice);
   host_.changed.Notify();
-  exchange_.SendNow();
+  exchange_.SendNotice(notice);
 }
 
 std::vector<serving::residency_notice> placement_runner::Notices() {
   const auto now = host_.time.now();
   notices_.erase(std::remove_if(notices_.begin(), notices_.end(),
                                 [now](const auto& entry) {
-                                  return now - entry.second >
-                                         serving::engine_fleet::kRecordLag;
+                                  return now - entry.second > kNoticeRepeats;
                                 }),
                  notices_.end());
   std::vector<serving::residency_notice> recent;
--- a/packages/edge/placement_runner.h
+++ b/packages/edge/placement_runner.h
@@ -10,6 +10,7 @@
 #include "edge/digest_exchange.h"
 #include "edge/edge_state.h"
 #include "serving/copy_planner.h"
+#include "serving/engine_ledger.h"
 
 namespace bluebell::edge {
 
@@ -31,29 +32,28 @@
   void Resign(boost::asio::yield_context yield);
 
  private:
-  enum class order_result { kAccepted, kHolds, kRefused, kGone, kNoAnswer };
+  enum class order_result { kAccepted, kDone, kRefused, kGone, kNoAnswer };
 
-  // What this host knows of an engine beyond its record.
+  // The orders to one engine.
   struct engine_work {
     std::int64_t started_ms = 0;
-    std::int64_t order_count = 0;
-    /// False until the engine's report told the number of orders.
-    bool count_known = false;
-    /// A model order is under way.
+    serving::engine_ledger ledger;
+    /// An order is planned or under way that keeps the engine from others.
     bool busy = false;
-    /// An order is on its way to the engine.
+    /// An order or a question is on its way to the engine.
     bool sending = false;
-    std::optional<model_id> loading;
     /// The engine refused an order; it gets none until then.
     clock::time_point refused_until;
-    /// Adapters whose load was accepted but is not done.
-    std::set<std::pair<model_id, adapter_id>> coming;
+    std::optional<model_id> loading;
   };
 
   bool WriteDuty(boost::asio::yield_context yield);
   void Plan();
   serving::planner_input BuildInput(const serving::service& service);
   engine_work& WorkOf(const endpoint_id& id);
+  const serving::engine_spec* SpecOf(const endpoint_id& id) const;
+  bool IsFree(const engine_work& work) const;
+  void ReadLedger(const endpoint_id& id);
   void CarryOut(serving::placement_order order,
                 boost::asio::yield_context yield);
   void AwaitEnd(const serving::placement_order& order, double expected_s,
@@ -66,7 +66,7 @@
   void LoadAdapter(const serving::adapter_want& want,
                    boost::asio::yield_context yield);
   std::optional<serving::placement_order> NextAdapterOrder(
-      const serving::adapter_want& want) const;
+      const serving::adapter_want& want);
   void Publish(const endpoint_id& id, const model_id& model,
                const adapter_id& adapter, bool present);
   double AdapterRate(const model_id& model, const adapter_id& adapter) const;
--- a/packages/edge/request_relay.cpp
+++ b/packages/edge/request_relay.cpp
@@ -1,7 +1,6 @@
 #include "edge/request_relay.h"
 
 #include <algorithm>
-#include <boost/asio/steady_timer.hpp>
 #include <optional>
 #include <set>
 
@@ -124,14 +123,13 @@
         yield_(yield),
         begun_(host.time.now()),
         config_(host.config),
-        caller_(host.dialect.ReadRequest(received)),
-        deadline_timer_(host.io) {}
+        caller_(host.dialect.ReadRequest(received)) {}
 
   void Run() {
     if (!Admit()) return;
     Arm();
     Dispatch();
-    deadline_timer_.cancel();
+    deadline_timer_.reset();
     sink_.OnCallerGone(nullptr);
   }
 
@@ -194,10 +192,8 @@
   // Ends a wait or a send when the caller leaves or the time is over.
   void Arm() {
     sink_.OnCallerGone([this] { Interrupt(caller_gone_); });
-    deadline_timer_.expires_after(deadline_ - begun_);
-    deadline_timer_.async_wait([this](const boost::system::error_code& ended) {
-      if (!ended) Interrupt(expired_);
-    });
+    deadline_timer_ = host_.time.CallAfter(deadline_ - begun_,
+                                           [this] { Interrupt(expired_); });
     if (sink_.caller_gone()) caller_gone_ = true;
   }
 
@@ -615,7 +611,7 @@
   clock::time_point begun_;
   std::shared_ptr<const serving::serving_config> config_;
   caller_request caller_;
-  asio::steady_timer deadline_timer_;
+  timer_handle deadline_timer_;
 
   const serving::route* route_ = nullptr;
   const serving::account* account_ = nullptr;
--- a/packages/edge/store_sync.cpp
+++ b/packages/edge/store_sync.cpp
@@ -7,7 +7,7 @@
 
 // A change must be in force two seconds after the store accepted it; a lost
 // read and its repetition fit into that.
-constexpr milliseconds kConfigInterval{900};
+constexpr milliseconds kConfigInterval{700};
 // A leaving engine must get nothing new two seconds after its notice.
 constexpr milliseconds kEnginesInterval{600};
 // Pause after a failed read, so that a busy store is not pressed.
--- a/packages/serving/engine_fleet.cpp
+++ b/packages/serving/engine_fleet.cpp
@@ -272,6 +272,11 @@
   return found == engines_.end() ? nullptr : &found->second;
 }
 
+const engine_fleet::state* engine_fleet::Find(const endpoint_id& engine) const {
+  const auto found = engines_.find(engine);
+  return found == engines_.end() ? nullptr : &found->second;
+}
+
 std::map<endpoint_id, int> engine_fleet::OwnInFlight() const {
   std::map<endpoint_id, int> counts;
   for (const auto& [id, engine] : engines_) {
--- a/packages/serving/engine_fleet.h
+++ b/packages/serving/engine_fleet.h
@@ -141,6 +141,7 @@
   void OnEnd(const endpoint_id& engine, const send_outcome& outcome);
 
   state* Find(const endpoint_id& engine);
+  const state* Find(const endpoint_id& engine) const;
   const std::map<endpoint_id, state>& engines() const { return engines_; }
   std::map<endpoint_id, int> OwnInFlight() const;
 
--- a/packages/serving/host_digest.cpp
+++ b/packages/serving/host_digest.cpp
@@ -24,12 +24,8 @@
           std::chrono::milliseconds(row.at(5).get<std::int64_t>())};
 }
 
-}  // namespace
-
-std::string EncodeDigest(const host_digest& digest) {
-  json out;
-  out["host"] = digest.host.value();
-  out["inc"] = digest.incarnation;
+// The state of the host, in whole digests.
+void EncodeState(const host_digest& digest, json& out) {
   out["zone"] = digest.zone.value();
   out["front"] = digest.front_address;
   out["up"] = digest.uptime_ms;
@@ -54,6 +50,10 @@
                        static_cast<std::int64_t>(use.requests_per_s * 1000)}));
     }
   }
+}
+
+// Wants, notices and crashes, in every digest that has some.
+void EncodeMessages(const host_digest& digest, json& out) {
   if (!digest.wants.empty()) {
     json& wants = out["wants"] = json::array();
     for (const auto& want : digest.wants) {
@@ -67,6 +67,43 @@
     }
   }
   if (!digest.crashes.empty()) out["crashes"] = digest.crashes;
+}
+
+void DecodeState(const json& in, host_digest& digest) {
+  digest.zone = zone_id(in.at("zone").get<std::string>());
+  digest.front_address = in.at("front").get<std::string>();
+  digest.uptime_ms = in.at("up").get<std::int64_t>();
+  digest.number = in.at("n").get<std::uint64_t>();
+  const int state = in.at("state").get<int>();
+  digest.serving = state & 1;
+  digest.leaving = state & 2;
+  digest.hello = state & 4;
+  digest.places = state & 8;
+  for (const auto& row : in.at("flight")) {
+    digest.in_flight[endpoint_id(row.at(0).get<std::string>())] =
+        row.at(1).get<int>();
+  }
+  for (const auto& row : in.at("quota")) {
+    digest.quota_uses.push_back({account_id(row.at(0).get<std::string>()),
+                                 row.at(1).get<double>(),
+                                 row.at(2).get<double>()});
+  }
+  if (in.contains("demand")) {
+    for (const auto& row : in["demand"]) {
+      digest.demand.push_back({model_id(row.at(0).get<std::string>()),
+                               adapter_id(row.at(1).get<std::string>()),
+                               row.at(2).get<double>() / 1000});
+    }
+  }
+}
+}  // namespace
+
+std::string EncodeDigest(const host_digest& digest) {
+  json out;
+  out["host"] = digest.host.value();
+  out["inc"] = digest.incarnation;
+  if (!digest.partial) EncodeState(digest, out);
+  EncodeMessages(digest, out);
   const auto bytes = json::to_cbor(out);
   return {bytes.begin(), bytes.end()};
 }
@@ -77,31 +114,8 @@
     host_digest digest;
     digest.host = host_id(in.at("host").get<std::string>());
     digest.incarnation = in.at("inc").get<std::string>();
-    digest.zone = zone_id(in.at("zone").get<std::string>());
-    digest.front_address = in.at("front").get<std::string>();
-    digest.uptime_ms = in.at("up").get<std::int64_t>();
-    digest.number = in.at("n").get<std::uint64_t>();
-    const int state = in.at("state").get<int>();
-    digest.serving = state & 1;
-    digest.leaving = state & 2;
-    digest.hello = state & 4;
-    digest.places = state & 8;
-    for (const auto& row : in.at("flight")) {
-      digest.in_flight[endpoint_id(row.at(0).get<std::string>())] =
-          row.at(1).get<int>();
-    }
-    for (const auto& row : in.at("quota")) {
-      digest.quota_uses.push_back({account_id(row.at(0).get<std::string>()),
-                                   row.at(1).get<double>(),
-                                   row.at(2).get<double>()});
-    }
-    if (in.contains("demand")) {
-      for (const auto& row : in["demand"]) {
-        digest.demand.push_back({model_id(row.at(0).get<std::string>()),
-                                 adapter_id(row.at(1).get<std::string>()),
-                                 row.at(2).get<double>() / 1000});
-      }
-    }
+    digest.partial = !in.contains("n");
+    if (!digest.partial) DecodeState(in, digest);
     if (in.contains("wants")) {
       for (const auto& row : in["wants"]) {
         digest.wants.push_back({model_id(row.at(0).get<std::string>()),
--- a/packages/serving/host_digest.h
+++ b/packages/serving/host_digest.h
@@ -28,7 +28,9 @@
 };
 
 /// What a host tells the others a few times per second, as one CBOR datagram.
+/// Between these it sends partial ones, which hold only wants or notices.
 struct host_digest {
+  bool partial = false;
   host_id host;
   std::string incarnation;
   zone_id zone;
