--- a/packages/edge/store_sync.cpp
+++ b/packages/edge/store_sync.cpp
@@ -21,6 +21,8 @@
 constexpr milliseconds kFollowInterval{350};
 // A follower whose knowledge is older reads the store itself.
 constexpr milliseconds kFollowedAge{1300};
+// Three questions without an answer.
+constexpr milliseconds kReaderPatience{1100};
 // Step in which a follower checks its knowledge's age.
 constexpr milliseconds kFollowStep{150};
 // Records in one answer, a few kilobytes.
@@ -82,18 +84,26 @@
   while (true) {
     Pause(kFollowInterval, yield);
     if (IsReader()) continue;
-    const auto* reader = host_.directory.Reader(kReaders, host_.random());
-    if (reader == nullptr) continue;
-    followed_log_ = reader->newest.host.value() + reader->newest.incarnation;
-    ++question_;
-    asked_at_ = host_.time.now();
-    send_question(
-        reader->digest_address,
-        serving::EncodeQuestion(
-            {question_, followed_log_, follower_.PositionIn(followed_log_)}));
+    // A reader that does not answer is left for the next one.
+    if (host_.time.now() - answered_at_ > kReaderPatience) {
+      answered_at_ = host_.time.now();
+      ++reader_;
+    }
+    Ask();
   }
 }
 
+void store_sync::Ask() {
+  const auto* reader = host_.directory.Reader(kReaders, reader_);
+  if (reader == nullptr) return;
+  followed_log_ = reader->newest.host.value() + reader->newest.incarnation;
+  ++question_;
+  asked_at_ = host_.time.now();
+  send_question(reader->digest_address,
+                serving::EncodeQuestion({question_, followed_log_,
+                                         follower_.PositionIn(followed_log_)}));
+}
+
 std::optional<std::string> store_sync::Answer(std::string_view question) {
   const auto asked = serving::DecodeQuestion(question);
   if (!asked) {
@@ -131,6 +141,7 @@
   if (answer->number != question_ || answer->records.log != followed_log_) {
     return;
   }
+  answered_at_ = host_.time.now();
   newest_version_ = std::max(newest_version_, answer->config_version);
   if (answer->config_age && host_.config != nullptr &&
       host_.config->version == answer->config_version) {
@@ -138,6 +149,9 @@
   }
   const auto before = follower_.PositionIn(answer->records.log);
   const bool complete = follower_.Apply(answer->records);
+  if (!complete && follower_.PositionIn(answer->records.log) > before) {
+    Ask();
+  }
   if (complete) {
     records_at_ = asked_at_;
     if (follower_.PositionIn(answer->records.log) != before || !reads_) {
--- a/packages/edge/store_sync.h
+++ b/packages/edge/store_sync.h
@@ -21,7 +21,9 @@
 class store_sync {
  public:
   explicit store_sync(edge_state& host)
-      : host_(host), log_(host.settings.id.value() + host.incarnation) {}
+      : host_(host),
+        log_(host.settings.id.value() + host.incarnation),
+        reader_(host.random()) {}
 
   /// Keeps the configuration current until the process ends.
   void RunConfig(boost::asio::yield_context yield);
@@ -39,6 +41,7 @@
 
  private:
   bool IsReader() const;
+  void Ask();
   void ReadConfig(boost::asio::yield_context yield);
   void OnStoreAnswer(const char* what, bool answered, const std::string& why);
   void Apply(std::shared_ptr<const serving::serving_config> read);
@@ -54,6 +57,9 @@
   /// What it follows.
   serving::record_follower follower_;
   std::string followed_log_;
+  /// Which of the readers is asked.
+  std::uint64_t reader_;
+  clock::time_point answered_at_;
   std::uint64_t question_ = 0;
   clock::time_point asked_at_;
   clock::time_point records_at_;
