Tests of serving decisions, relay and decoders; exact quota parts

The tests of the fleet's quota found two faults on the paused clock: an account at seven times its rate got 838,000 of 799,500 tokens in a window while two of eight hosts were cut off, and 762,000 of 700,500 at 82 hosts. Causes: what silent or late hosts spend was not debited, and the coming refill was given out before it came.

--- a/packages/edge/digest_exchange.cpp
+++ b/packages/edge/digest_exchange.cpp
@@ -128,7 +128,7 @@
 void digest_exchange::RunSend(asio::yield_context yield) {
   while (true) {
     const auto interval = Interval();
-    host_.quota.Divide(interval);
+    host_.quota.Divide();
     SendToAll();
     host_.connections.CloseExpired();
     wants_told_.clear();
--- a/packages/edge/request_relay.cpp
+++ b/packages/edge/request_relay.cpp
@@ -372,6 +372,7 @@
                     double usual_answer) {
     first_answer_.reset();
     broke_off_ = false;
+    last_detail_.clear();
     misdirected_ = false;
     auto& connection = *lease.connection;
     engine_call call;
--- a/packages/serving/shared_quota.cpp
+++ b/packages/serving/shared_quota.cpp
@@ -13,9 +13,11 @@
 // callers choose hosts at random, so one host's part may run out while others
 // have plenty. What is spent too much is missing from the next division, and
 // a sparse bucket is divided exactly.
-constexpr double kOvercommit = 4;
-constexpr double kAmpleFill = 0.5;
-constexpr double kSparseFill = 0.25;
+constexpr double kOvercommit = 6;
+constexpr double kAmpleFill = 0.4;
+constexpr double kSparseFill = 0.2;
+// Part of the rate that nobody asks for, from which on the bucket is ample.
+constexpr double kUnaskedPart = 0.2;
 // Time over which the demand at this host is averaged.
 constexpr double kDemandSeconds = 1.0;
 
@@ -79,14 +81,17 @@
   for (const auto& use : uses) {
     auto& known = peer.uses[use.account];
     const auto bucket = buckets_.find(use.account);
-    if (bucket != buckets_.end() && use.spent > known.spent) {
-      bucket->second.level -= use.spent - known.spent;
+    if (bucket != buckets_.end()) {
+      // What was assumed is replaced by what was spent.
+      auto& level = bucket->second.level;
+      level += known.assumed - std::max(0.0, use.spent - known.spent);
+      level = std::min(level, bucket->second.burst);
     }
-    known = {std::max(use.spent, known.spent), use.asked_per_s};
+    known = {std::max(use.spent, known.spent), use.asked_per_s, 0};
   }
 }
 
-void shared_quota::Divide(clock::duration interval) {
+void shared_quota::Divide() {
   const auto now = clock_.now();
   for (auto entry = peers_.begin(); entry != peers_.end();) {
     entry = now - entry->second.heard > kForgotten ? peers_.erase(entry)
@@ -94,6 +99,7 @@
   }
   const double since_divided = std::max(0.001, Seconds(now - divided_));
   for (auto& [account, bucket] : buckets_) {
+    if (bucket.rate <= 0) continue;
     const double share = std::min(1.0, since_divided / kDemandSeconds);
     bucket.asked_per_s +=
         share * (bucket.asked_since / since_divided - bucket.asked_per_s);
@@ -102,25 +108,41 @@
     const double own_weight = bucket.asked_per_s + idle;
     double all_weights = own_weight;
     double silent_weights = 0;
+    double asked = bucket.asked_per_s;
     for (const auto& [id, peer] : peers_) {
       const auto use = peer.uses.find(account);
       const double weight =
           idle + (use == peer.uses.end() ? 0 : use->second.asked_per_s);
       all_weights += weight;
+      asked += weight - idle;
       if (now - peer.heard > kSilent) silent_weights += weight;
     }
-    const double heard_part = 1 - silent_weights / all_weights;
-    const double refill = bucket.rate * heard_part;
     bucket.level =
-        std::min(bucket.burst * heard_part,
-                 bucket.level + refill * Seconds(now - bucket.refilled));
+        std::min(bucket.burst,
+                 bucket.level + bucket.rate * Seconds(now - bucket.refilled));
     bucket.refilled = now;
-    const double available = bucket.level + refill * Seconds(interval);
-    const double fill = bucket.burst > 0 ? bucket.level / bucket.burst : 0;
-    const double overcommit =
-        1 + (kOvercommit - 1) *
-                std::clamp((fill - kSparseFill) / (kAmpleFill - kSparseFill),
-                           0.0, 1.0);
+    // Until another host reports, it is assumed to spend what it was asked
+    // for, at most its part of the rate; a silent one spends all its part.
+    for (auto& [id, peer] : peers_) {
+      auto& use = peer.uses[account];
+      const double part = bucket.rate * (idle + use.asked_per_s) / all_weights;
+      const bool is_silent = now - peer.heard > kSilent;
+      const double per_s = is_silent ? part : std::min(part, use.asked_per_s);
+      const double spent =
+          per_s * Seconds(now - std::max(divided_, peer.heard));
+      use.assumed += spent;
+      bucket.level -= spent;
+    }
+    const double available = bucket.level;
+    const double ample =
+        bucket.burst > 0
+            ? std::clamp((bucket.level / bucket.burst - kSparseFill) /
+                             (kAmpleFill - kSparseFill),
+                         0.0, 1.0)
+            : 0;
+    const double unasked =
+        std::clamp((1 - asked / bucket.rate) / kUnaskedPart, 0.0, 1.0);
+    const double overcommit = 1 + (kOvercommit - 1) * ample * unasked;
     bucket.own_part = std::max(0.0, overcommit * available * own_weight /
                                         (all_weights - silent_weights));
   }
--- a/packages/serving/shared_quota.h
+++ b/packages/serving/shared_quota.h
@@ -50,8 +50,8 @@
                 clock::duration uptime, const std::vector<quota_use>& uses);
   /// The sender stops and spends nothing more.
   void OnStopped(const host_id& sender) { peers_.erase(sender); }
-  /// Sets this host's parts for the next `interval`, the time between reports.
-  void Divide(clock::duration interval);
+  /// Sets this host's parts until the next call; to be called for each report.
+  void Divide();
   /// This host's use, for the report to the others.
   std::vector<quota_use> Uses() const;
 
@@ -74,6 +74,8 @@
   struct peer_use {
     double spent = 0;
     double asked_per_s = 0;
+    /// Debited since the last report, until the next one tells what was spent.
+    double assumed = 0;
   };
   struct peer {
     std::string incarnation;
--- /dev/null
+++ b/packages/serving/tests/engine_fleet_test.cpp
@@ -0,0 +1,167 @@
+#include "serving/engine_fleet.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+#include "base/manual_clock.h"
+
+namespace bluebell::serving {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const service_id kService("llm");
+const model_id kModel("tiles");
+const adapter_id kAdapter("a1");
+
+engine_record MakeRecord(const std::string& id) {
+  engine_record record;
+  record.id = endpoint_id(id);
+  record.service = kService;
+  record.address = "10.0.0.1:80";
+  record.zone = zone_id("dakar");
+  record.slots = 4;
+  record.started_ms = 100;
+  record.resident[kModel];
+  return record;
+}
+
+class engine_fleet_test : public testing::Test {
+ protected:
+  engine_choice Choose(const adapter_id& adapter = {}) {
+    return fleet_.Choose({kService, kModel, adapter}, milliseconds(100), {});
+  }
+
+  manual_clock clock_;
+  engine_fleet fleet_{clock_, zone_id("dakar"), 7};
+};
+
+TEST_F(engine_fleet_test, LeavingEngineGetsNothing) {
+  auto record = MakeRecord("e1");
+  record.leaving = true;
+  fleet_.Replace({record});
+  EXPECT_EQ(Choose().status, choice_status::kNoEngine);
+}
+
+TEST_F(engine_fleet_test, TellsWhatIsMissing) {
+  fleet_.Replace({MakeRecord("e1")});
+  EXPECT_EQ(Choose(kAdapter).status, choice_status::kNoAdapter);
+  EXPECT_EQ(
+      fleet_.Choose({kService, model_id("other"), {}}, milliseconds(100), {})
+          .status,
+      choice_status::kNoModel);
+}
+
+// Guards against requests that wait for a record although the adapter was
+// loaded seconds ago, and against notices that outlive the record.
+TEST_F(engine_fleet_test, NoticeCountsUntilTheRecordShowsIt) {
+  fleet_.Replace({MakeRecord("e1")});
+  fleet_.OnNotice({endpoint_id("e1"), 100, kModel, kAdapter, true, {}});
+  EXPECT_EQ(Choose(kAdapter).status, choice_status::kChosen);
+  clock_.Advance(engine_fleet::kRecordLag);
+  EXPECT_EQ(Choose(kAdapter).status, choice_status::kNoAdapter);
+}
+
+TEST_F(engine_fleet_test, OlderNoticeDoesNotReplaceNewer) {
+  fleet_.Replace({MakeRecord("e1")});
+  clock_.Advance(seconds(1));
+  fleet_.OnNotice({endpoint_id("e1"), 100, kModel, kAdapter, true, {}});
+  fleet_.OnNotice(
+      {endpoint_id("e1"), 100, kModel, kAdapter, false, milliseconds(300)});
+  EXPECT_EQ(Choose(kAdapter).status, choice_status::kChosen);
+}
+
+// Guards against an engine that restarted empty under its id and is taken to
+// hold what it held before.
+TEST_F(engine_fleet_test, NoticeOfAnEarlierStartIsIgnored) {
+  fleet_.Replace({MakeRecord("e1")});
+  fleet_.OnNotice({endpoint_id("e1"), 99, kModel, kAdapter, true, {}});
+  EXPECT_EQ(Choose(kAdapter).status, choice_status::kNoAdapter);
+  fleet_.OnNotice({endpoint_id("e1"), 100, kModel, kAdapter, true, {}});
+  auto restarted = MakeRecord("e1");
+  restarted.started_ms = 200;
+  fleet_.Replace({restarted});
+  EXPECT_EQ(Choose(kAdapter).status, choice_status::kNoAdapter);
+}
+
+TEST_F(engine_fleet_test, AbsentModelIsNotChosenAgain) {
+  fleet_.Replace({MakeRecord("e1")});
+  fleet_.OnAbsent(endpoint_id("e1"), {kService, kModel, {}});
+  EXPECT_EQ(Choose().status, choice_status::kNoModel);
+}
+
+// Guards against an address that another endpoint uses now.
+TEST_F(engine_fleet_test, MisdirectedEngineIsLeftAlone) {
+  fleet_.Replace({MakeRecord("e1")});
+  fleet_.OnMisdirected(endpoint_id("e1"));
+  EXPECT_EQ(Choose().status, choice_status::kNoEngine);
+}
+
+// Load pattern: one of three engines fails everything while its record looks
+// healthy. It gets few requests, and is tried again later.
+TEST_F(engine_fleet_test, FailingEngineIsAvoidedAndTriedAgain) {
+  fleet_.Replace({MakeRecord("e1"), MakeRecord("e2"), MakeRecord("e3")});
+  const auto play = [&](bool e1_fails) {
+    std::map<endpoint_id, int> sent;
+    for (int i = 0; i < 300; ++i) {
+      const auto choice = Choose();
+      ++sent[choice.engine];
+      fleet_.OnSend(choice.engine);
+      const bool failed = e1_fails && choice.engine == endpoint_id("e1");
+      fleet_.OnEnd(
+          choice.engine,
+          {failed, failed ? std::optional<clock::duration>() : milliseconds(30),
+           milliseconds(200)});
+      clock_.Advance(milliseconds(10));
+    }
+    return sent[endpoint_id("e1")];
+  };
+  EXPECT_LT(play(true), 30);
+  clock_.Advance(seconds(10));
+  EXPECT_GT(play(false), 50);
+}
+
+// Load pattern: engines that differ in speed by a factor of three.
+TEST_F(engine_fleet_test, FasterEngineGetsMore) {
+  fleet_.Replace({MakeRecord("e1"), MakeRecord("e2")});
+  std::map<endpoint_id, int> sent;
+  for (int i = 0; i < 400; ++i) {
+    const auto choice = Choose();
+    ++sent[choice.engine];
+    const bool slow = choice.engine == endpoint_id("e1");
+    fleet_.OnSend(choice.engine);
+    fleet_.OnEnd(choice.engine, {false, milliseconds(slow ? 90 : 30),
+                                 milliseconds(slow ? 90 : 30)});
+  }
+  EXPECT_GT(sent[endpoint_id("e2")], 2 * sent[endpoint_id("e1")]);
+}
+
+// Load pattern: a burst fills all slots. What cannot start within the given
+// wait is told at once, with the expected wait.
+TEST_F(engine_fleet_test, FullEnginesAreBusy) {
+  fleet_.Replace({MakeRecord("e1")});
+  fleet_.OnPeerLoad(host_id("other"), {{endpoint_id("e1"), 9}});
+  const auto choice = Choose();
+  EXPECT_EQ(choice.status, choice_status::kBusy);
+  EXPECT_GT(choice.wait, milliseconds(100));
+  fleet_.OnPeerGone(host_id("other"));
+  EXPECT_EQ(Choose().status, choice_status::kChosen);
+}
+
+// Guards against a count of requests in flight that is lost or never falls
+// when an engine's record goes while requests run there.
+TEST_F(engine_fleet_test, RemovedEngineStaysUntilItsRequestsEnd) {
+  fleet_.Replace({MakeRecord("e1")});
+  fleet_.OnSend(endpoint_id("e1"));
+  fleet_.Replace({});
+  EXPECT_EQ(Choose().status, choice_status::kNoEngine);
+  EXPECT_EQ(fleet_.OwnInFlight().at(endpoint_id("e1")), 1);
+  fleet_.OnEnd(endpoint_id("e1"), {});
+  fleet_.Replace({});
+  EXPECT_TRUE(fleet_.engines().empty());
+}
+
+}  // namespace
+}  // namespace bluebell::serving
--- /dev/null
+++ b/packages/serving/tests/host_directory_test.cpp
@@ -0,0 +1,128 @@
+#include "serving/host_directory.h"
+
+#include <gtest/gtest.h>
+
+#include "base/manual_clock.h"
+
+namespace bluebell::serving {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const zone_id kZone("dakar");
+
+host_digest MakeDigest(const std::string& host, std::uint64_t number,
+                       const zone_id& zone = kZone) {
+  host_digest digest;
+  digest.host = host_id(host);
+  digest.incarnation = "1";
+  digest.zone = zone;
+  digest.front_address = host + ":80";
+  digest.number = number;
+  digest.uptime_ms = 5000;
+  digest.serving = true;
+  digest.capacity = 250;
+  return digest;
+}
+
+class host_directory_test : public testing::Test {
+ protected:
+  std::vector<std::string> Addresses() {
+    return directory_.Addresses(kZone, true);
+  }
+  void Hear(const host_digest& digest) {
+    directory_.OnDigest(digest, "10.0.0.2:7600");
+  }
+
+  manual_clock clock_;
+  host_directory directory_{clock_, host_id("self"), kZone, "self:80", 250};
+};
+
+// Guards against listed hosts that are dead: each costs a caller a second.
+TEST_F(host_directory_test, SilentHostIsNotListed) {
+  Hear(MakeDigest("b", 1));
+  EXPECT_EQ(Addresses().size(), 2U);
+  clock_.Advance(milliseconds(1100));
+  EXPECT_EQ(Addresses(), std::vector<std::string>{"self:80"});
+  EXPECT_EQ(directory_.TakeSilent(), std::vector<host_id>{host_id("b")});
+  EXPECT_TRUE(directory_.TakeSilent().empty());
+}
+
+TEST_F(host_directory_test, LeavingHostIsNotListed) {
+  Hear(MakeDigest("b", 1));
+  auto digest = MakeDigest("b", 2);
+  digest.leaving = true;
+  Hear(digest);
+  EXPECT_EQ(Addresses(), std::vector<std::string>{"self:80"});
+}
+
+// Guards against a delayed datagram that lists a host again after it left.
+TEST_F(host_directory_test, OlderDigestChangesNothing) {
+  auto digest = MakeDigest("b", 5);
+  digest.leaving = true;
+  Hear(digest);
+  Hear(MakeDigest("b", 4));
+  EXPECT_EQ(Addresses(), std::vector<std::string>{"self:80"});
+}
+
+TEST_F(host_directory_test, RestartedHostIsHeardAtOnce) {
+  auto digest = MakeDigest("b", 900);
+  digest.leaving = true;
+  Hear(digest);
+  auto restarted = MakeDigest("b", 1);
+  restarted.incarnation = "2";
+  restarted.uptime_ms = 10;
+  Hear(restarted);
+  EXPECT_EQ(Addresses().size(), 2U);
+}
+
+TEST_F(host_directory_test, OtherZonesHelpOutIfFewAreLeft) {
+  Hear(MakeDigest("far", 1, zone_id("thies")));
+  EXPECT_EQ(Addresses().size(), 2U);
+  Hear(MakeDigest("near", 1));
+  EXPECT_EQ(Addresses(), (std::vector<std::string>{"self:80", "near:80"}));
+}
+
+// Guards against duties that fall to the weakest host.
+TEST_F(host_directory_test, StrongHostsComeFirst) {
+  auto strong = MakeDigest("strong", 1);
+  strong.capacity = 500;
+  Hear(strong);
+  auto weak = MakeDigest("weak", 1);
+  weak.capacity = 90;
+  Hear(weak);
+  EXPECT_EQ(directory_.Rank(), 1);
+  EXPECT_EQ(directory_.Reader(1, 17)->newest.host, host_id("strong"));
+}
+
+TEST(host_digest, SurvivesTheWay) {
+  auto digest = MakeDigest("b", 3);
+  digest.in_flight[endpoint_id("e1")] = 4;
+  digest.quota_uses.push_back({account_id("ndiaye"), 1200, 300});
+  digest.demand.push_back({model_id("m"), adapter_id("a"), 1.5});
+  digest.notices.push_back({endpoint_id("e1"), 100, model_id("m"),
+                            adapter_id("a"), true, milliseconds(40)});
+  const auto read = DecodeDigest(EncodeDigest(digest));
+  ASSERT_TRUE(read);
+  EXPECT_EQ(read->in_flight, digest.in_flight);
+  EXPECT_EQ(read->quota_uses.at(0).spent, 1200);
+  EXPECT_EQ(read->demand.at(0).requests_per_s, 1.5);
+  EXPECT_EQ(read->notices.at(0).age, milliseconds(40));
+  EXPECT_FALSE(read->partial);
+  EXPECT_FALSE(DecodeDigest("not a digest"));
+}
+
+TEST(host_digest, PartialDigestHoldsMessagesOnly) {
+  host_digest digest;
+  digest.partial = true;
+  digest.host = host_id("b");
+  digest.wants.push_back({model_id("m"), adapter_id("a")});
+  const auto read = DecodeDigest(EncodeDigest(digest));
+  ASSERT_TRUE(read);
+  EXPECT_TRUE(read->partial);
+  EXPECT_EQ(read->wants.at(0).adapter, adapter_id("a"));
+}
+
+}  // namespace
+}  // namespace bluebell::serving
--- /dev/null
+++ b/packages/serving/tests/record_log_test.cpp
@@ -0,0 +1,94 @@
+#include "serving/record_log.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "serving/sync_messages.h"
+
+namespace bluebell::serving {
+namespace {
+
+engine_record MakeRecord(int number, int slots) {
+  engine_record record;
+  record.id = endpoint_id("e" + std::to_string(number));
+  record.service = service_id("llm");
+  record.address = "10.0.0.1:" + std::to_string(8000 + number);
+  record.slots = slots;
+  return record;
+}
+
+// Random changes, lost and repeated answers, and a reader that restarts: the
+// follower's copy equals the log whenever it claims to be complete.
+TEST(record_log, FollowerEndsWithTheSameRecords) {
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    std::mt19937_64 random(seed);
+    record_log log("first");
+    record_follower follower;
+    std::string name = "first";
+    std::vector<engine_record> listed;
+    int complete = 0;
+    for (int step = 0; step < 300; ++step) {
+      listed.clear();
+      for (int i = 0; i < 40; ++i) {
+        if (random() % 4 != 0)
+          listed.push_back(MakeRecord(i, random() % 3 + 1));
+      }
+      log.Update(listed, random() % 5 == 0);
+      if (random() % 60 == 0) {
+        name = "log-" + std::to_string(step);
+        log = record_log(name);
+        log.Update(listed, false);
+      }
+      const auto delta = log.Since(follower.PositionIn(name), 16);
+      if (random() % 3 == 0) continue;  // lost
+      const auto travelled = DecodeAnswer(EncodeAnswer({1, 1, {}, delta}));
+      ASSERT_TRUE(travelled);
+      const bool done = follower.Apply(travelled->records);
+      if (random() % 4 == 0) follower.Apply(travelled->records);
+      if (!done) continue;
+      ++complete;
+      ASSERT_EQ(follower.Records(), log.Records()) << "seed " << seed;
+    }
+    // Catch up at the end: nothing changes any more.
+    bool done = false;
+    for (int i = 0; i < 10 && !done; ++i) {
+      done = follower.Apply(log.Since(follower.PositionIn(name), 16));
+    }
+    EXPECT_TRUE(done);
+    EXPECT_EQ(follower.Records(), log.Records());
+  }
+}
+
+// Guards against engines that vanish because their records lapsed while the
+// store was away, and against an address that is kept for its former engine.
+TEST(record_log, KeepsMissingRecordsUnlessTheirAddressIsUsed) {
+  record_log log("log");
+  log.Update({MakeRecord(1, 1), MakeRecord(2, 1)}, false);
+  auto successor = MakeRecord(3, 1);
+  successor.address = MakeRecord(2, 1).address;
+  log.Update({successor}, true);
+  const auto kept = log.Records();
+  ASSERT_EQ(kept.size(), 2U);
+  EXPECT_EQ(kept[0].id, endpoint_id("e1"));
+  EXPECT_EQ(kept[1].id, endpoint_id("e3"));
+  log.Update({successor}, false);
+  EXPECT_EQ(log.Records().size(), 1U);
+}
+
+TEST(record_log, UnchangedListingIsNoChange) {
+  record_log log("log");
+  EXPECT_TRUE(log.Update({MakeRecord(1, 1)}, false));
+  EXPECT_FALSE(log.Update({MakeRecord(1, 1)}, false));
+}
+
+TEST(sync_messages, RejectsWhatIsNoMessage) {
+  EXPECT_FALSE(DecodeQuestion("garbage"));
+  EXPECT_FALSE(DecodeAnswer(""));
+  const auto question = DecodeQuestion(EncodeQuestion({3, "log", 9}));
+  ASSERT_TRUE(question);
+  EXPECT_EQ(question->position, 9U);
+}
+
+}  // namespace
+}  // namespace bluebell::serving
