--- a/packages/edge/deployment_store.h
+++ b/packages/edge/deployment_store.h
@@ -34,8 +34,8 @@
   /// before if it has not changed.
   virtual result<std::shared_ptr<const serving::serving_config>> ReadConfig(
       boost::asio::yield_context yield) = 0;
-  /// The records of all endpoints that can be read; null if nothing changed
-  /// since the call before.
+  /// The records of all endpoints that can be read. The same pointer as before
+  /// if nothing has changed.
   virtual result<std::shared_ptr<const std::vector<serving::engine_record>>>
   ListEngines(boost::asio::yield_context yield) = 0;
 
--- a/packages/edge/request_dialect.h
+++ b/packages/edge/request_dialect.h
@@ -33,8 +33,6 @@
   adapter_id adapter;
   std::optional<std::int64_t> prompt_tokens;
   std::optional<std::int64_t> output_tokens;
-  /// The caller resumes a stream after this event; empty if it does not.
-  std::string last_event;
 };
 
 /// What this host adds to a request that it passes on.
--- /dev/null
+++ b/packages/edge/stream_events.cpp
@@ -0,0 +1,32 @@
+#include "edge/stream_events.h"
+
+#include <algorithm>
+
+namespace bluebell::edge {
+
+std::size_t CompleteEvents(const std::string& bytes) {
+  const auto unix_end = bytes.rfind("\n\n");
+  const auto dos_end = bytes.rfind("\r\n\r\n");
+  std::size_t end = 0;
+  if (unix_end != std::string::npos) end = unix_end + 2;
+  if (dos_end != std::string::npos) end = std::max(end, dos_end + 4);
+  return end;
+}
+
+std::string LastEventId(const std::string& events) {
+  std::string id;
+  std::size_t line = 0;
+  while (line < events.size()) {
+    auto end = events.find('\n', line);
+    if (end == std::string::npos) end = events.size();
+    if (events.compare(line, 3, "id:") == 0) {
+      auto value = events.find_first_not_of(' ', line + 3);
+      if (value < end) id = events.substr(value, end - value);
+      if (!id.empty() && id.back() == '\r') id.pop_back();
+    }
+    line = end + 1;
+  }
+  return id;
+}
+
+}  // namespace bluebell::edge
--- /dev/null
+++ b/packages/edge/stream_events.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+
+namespace bluebell::edge {
+
+/// End position of the last complete server-sent event in `bytes`, or 0.
+std::size_t CompleteEvents(const std::string& bytes);
+
+/// Id of the last event in `events`, or empty if none has one.
+std::string LastEventId(const std::string& events);
+
+}  // namespace bluebell::edge
--- /dev/null
+++ b/packages/edge/tests/stream_events_test.cpp
@@ -0,0 +1,25 @@
+#include "edge/stream_events.h"
+
+#include <gtest/gtest.h>
+
+namespace bluebell::edge {
+namespace {
+
+// Guards against half events that reach a caller.
+TEST(stream_events, FindsTheEndOfTheLastCompleteEvent) {
+  EXPECT_EQ(CompleteEvents(""), 0U);
+  EXPECT_EQ(CompleteEvents("id: 1\ndata: x\n"), 0U);
+  EXPECT_EQ(CompleteEvents("id: 1\n\nid: 2\nda"), 7U);
+  EXPECT_EQ(CompleteEvents("id: 1\r\n\r\nid"), 9U);
+}
+
+// Guards against a stream that goes on after the wrong event.
+TEST(stream_events, FindsTheLastId) {
+  EXPECT_EQ(LastEventId("id: 7\ndata: x\n\nid: 8\ndata: id: 9\n\n"), "8");
+  EXPECT_EQ(LastEventId("id:5\r\n\r\n"), "5");
+  EXPECT_EQ(LastEventId("data: x\n\n"), "");
+  EXPECT_EQ(LastEventId("id:\n\n"), "");
+}
+
+}  // namespace
+}  // namespace bluebell::edge
--- a/packages/serving/engine_fleet.cpp
+++ b/packages/serving/engine_fleet.cpp
@@ -22,9 +22,10 @@
 constexpr double kFailureSeconds = 1.0;
 // One way to another zone and back.
 constexpr double kOtherZoneSeconds = 0.004;
-// Random part of a cost, so that hosts with the same picture do not all choose
-// the same engine.
-constexpr double kSpread = 0.25;
+// An engine is drawn with a probability that falls with this power of its
+// cost. Always taking the cheapest would send every host's requests to the
+// same engine until the next digests tell of them.
+constexpr double kCostExponent = 3;
 
 void Average(double& value, double sample) {
   value += kSampleWeight * (sample - value);
@@ -185,9 +186,8 @@
                                    const std::set<endpoint_id>& excluded) {
   engine_choice choice;
   bool has_model = false;
-  double best_cost = 0;
   double least_wait = 0;
-  std::uniform_real_distribution<double> spread(1.0, 1.0 + kSpread);
+  double weights = 0;
   for (const auto& [id, engine] : engines_) {
     if (engine.record.service != need.service || engine.record.leaving ||
         misdirected_.count(id) || excluded.count(id)) {
@@ -213,12 +213,13 @@
     if (wait > Seconds(within) || engine.own_in_flight >= need.most_in_flight) {
       continue;
     }
-    const double cost = Cost(engine) * spread(random_);
-    if (choice.status != choice_status::kChosen || cost < best_cost) {
-      choice.status = choice_status::kChosen;
+    // Draws one engine by weight in a single pass.
+    const double weight = std::pow(Cost(engine), -kCostExponent);
+    weights += weight;
+    if (std::uniform_real_distribution<double>(0, weights)(random_) < weight) {
       choice.engine = id;
-      best_cost = cost;
     }
+    choice.status = choice_status::kChosen;
   }
   if (choice.status == choice_status::kNoModel && has_model) {
     choice.status = choice_status::kNoAdapter;
@@ -228,22 +229,6 @@
   return choice;
 }
 
-double engine_fleet::TakenShare(const engine_need& need) const {
-  int slots = 0;
-  int taken = 0;
-  for (const auto& [id, engine] : engines_) {
-    if (engine.record.service != need.service || engine.record.leaving) {
-      continue;
-    }
-    if (!need.model.value().empty() &&
-        !engine.HasModel(need.model, clock_.now()))
-      continue;
-    slots += engine.record.slots;
-    taken += engine.InFlight();
-  }
-  return slots == 0 ? 1.0 : static_cast<double>(taken) / slots;
-}
-
 void engine_fleet::OnSend(const endpoint_id& engine) {
   auto* found = Find(engine);
   if (found != nullptr) ++found->own_in_flight;
--- a/packages/serving/engine_fleet.h
+++ b/packages/serving/engine_fleet.h
@@ -127,13 +127,12 @@
                   const std::map<endpoint_id, int>& in_flight);
   void OnPeerGone(const host_id& sender);
 
-  /// Chooses the engine with the least expected time to the first answer.
+  /// Draws an engine; the less time to the first answer it is expected to
+  /// take, the more often.
   /// `within` is the longest wait for a free slot that is worth it;
   /// `excluded` names engines that were tried.
   engine_choice Choose(const engine_need& need, clock::duration within,
                        const std::set<endpoint_id>& excluded);
-  /// Share of the places of the service's engines that are taken.
-  double TakenShare(const engine_need& need) const;
 
   void OnSend(const endpoint_id& engine);
   void OnEnd(const endpoint_id& engine, const send_outcome& outcome);
