--- a/scripts/check-wire-names.sh
+++ b/scripts/check-wire-names.sh
@@ -18,4 +18,12 @@
   echo "the product's word is client account" >&2
   exit 1
 fi
+# Every log event of the hosted entry host stands in its catalogue.
+grep -ohzP 'log\.Write\(\s*(\w+ \? )?"[a-z_]+"(\s*: "[a-z_]+")?' packages/edge/*.cpp |
+  grep -aoE '"[a-z_]+"' | tr -d '"' | sort -u | while read -r event; do
+  if ! grep -q "\`$event\`" docs/OPERATIONS.md; then
+    echo "log event $event is missing in docs/OPERATIONS.md" >&2
+    exit 1
+  fi
+done
 echo "wire names: only in platform/"
