--- a/packages/edge/request_send.cpp
+++ b/packages/edge/request_send.cpp
@@ -150,6 +150,11 @@
   if (route_->streaming && success) {
     return RelayStream(id, lease, *head, facts);
   }
+  if (sink_.started()) {
+    // Part of a stream went to the caller; no other answer can follow it.
+    last_detail_ = "status " + std::to_string(head->status) + " on resume";
+    return send_end::kUnknown;
+  }
   auto body = connection.ReadRest(kMostAnswerBytes,
                                   std::max(Left(), milliseconds(1)), yield_);
   if (!body) {
