--- a/packages/edge/relayed_request.h
+++ b/packages/edge/relayed_request.h
@@ -12,7 +12,7 @@
 
 namespace bluebell::edge {
 
-// How one send to an engine ended, for the next step.
+/// How one send to an engine ended, for the next step.
 enum class send_end {
   /// The answer went to the caller, in full or as far as it came.
   kDelivered,
@@ -37,7 +37,7 @@
   return std::to_string(ToMilliseconds(span).count());
 }
 
-// One request on its way through this host.
+/// One request on its way through this host.
 class relayed_request {
  public:
   relayed_request(edge_state& host, const http_request& received,
@@ -78,7 +78,7 @@
   // How long the caller waits for the first event or the answer.
   clock::duration CallerPatience() const;
   clock::duration SlotWait() const;
-  static clock::duration ToDuration(double part, clock::duration span);
+  static clock::duration PartOf(clock::duration span, double part);
   // No engine was found: nothing has run, unless an earlier send may have.
   void EndUnsent(const serving::engine_choice& choice);
   send_end SendTo(const endpoint_id& id);
@@ -111,8 +111,9 @@
 
   // The engine's time ends before the caller's, so that its answer arrives.
   static constexpr milliseconds kDeadlineMargin{5};
-  // Shortest wait that is worth a caller's new connection.
+  // The caller may return at once, to another host.
   static constexpr milliseconds kNow{0};
+  // Least time after which models, adapters or engines may be there again.
   static constexpr milliseconds kSoon{250};
   // The placement holder is asked again for an adapter this often.
   static constexpr milliseconds kWantInterval{100};
--- a/packages/edge/request_relay.cpp
+++ b/packages/edge/request_relay.cpp
@@ -28,8 +28,8 @@
 // Part of the connections that an engine accepts; the rest covers orders,
 // idle connections and hosts that are not heard.
 constexpr double kConnectionPart = 0.8;
-// Crashes over all hosts after which a request is refused: three engines that
-// it ended are evidence enough, and one more is allowed for.
+// Crashes over all hosts after which a request is refused. Requests that were
+// only in flight beside the cause are unlikely to be there three times.
 constexpr int kMostCrashes = 3;
 
 }  // namespace
@@ -180,7 +180,7 @@
 }
 
 engine_choice relayed_request::Wait() {
-  const auto patience = begun_ + ToDuration(kWaitPart, CallerPatience());
+  const auto patience = begun_ + PartOf(CallerPatience(), kWaitPart);
   while (true) {
     auto choice = host_.fleet.Choose(need_, SlotWait(), tried_);
     if (Over() || choice.status == choice_status::kChosen ||
@@ -209,11 +209,11 @@
 }
 
 clock::duration relayed_request::SlotWait() const {
-  const auto objective = ToDuration(kSlotWaitPart, route_->target_latency);
+  const auto objective = PartOf(route_->target_latency, kSlotWaitPart);
   return std::min<clock::duration>(objective, Left());
 }
 
-clock::duration relayed_request::ToDuration(double part, clock::duration span) {
+clock::duration relayed_request::PartOf(clock::duration span, double part) {
   return std::chrono::duration_cast<clock::duration>(part * span);
 }
 
--- a/packages/edge/request_send.cpp
+++ b/packages/edge/request_send.cpp
@@ -270,7 +270,7 @@
   const auto left = std::max(Left(), milliseconds(1));
   if (!MayRepeat() || runs_ + 1 >= route_->max_attempts) return left;
   const auto slow = std::max(
-      ToMilliseconds(ToDuration(kSlowAnswerPart, route_->target_latency)),
+      ToMilliseconds(PartOf(route_->target_latency, kSlowAnswerPart)),
       milliseconds(static_cast<int>(1000 * kSlowAnswerFactor * usual_answer)));
   return std::min(left, slow);
 }
