--- a/packages/config/config_editor.cpp
+++ b/packages/config/config_editor.cpp
@@ -202,14 +202,14 @@
     RetryLater(current, &config_editor::Write);
     return;
   }
-  OnOtherVersion(current, absent ? std::nullopt
-                                 : std::optional<store::object>(*answer));
+  OnOtherVersion(current,
+                 absent ? std::nullopt : std::optional<store::object>(*answer));
 }
 
 // The object is not at the expected version: it holds this edit already, an
 // equal one, a tombstone that may be replaced, or the edit of someone else.
-void config_editor::OnOtherVersion(
-    const edit_ptr& current, const std::optional<store::object>& found) {
+void config_editor::OnOtherVersion(const edit_ptr& current,
+                                   const std::optional<store::object>& found) {
   if (!found) {
     Refuse(current,
            current->removes ? problem_code::kRowNotFound
--- a/packages/config/config_editor.h
+++ b/packages/config/config_editor.h
@@ -70,8 +70,7 @@
   void Write(const edit_ptr& current);
   void OnWritten(const edit_ptr& current, const store::write_result& answer);
   void ReadBack(const edit_ptr& current);
-  void OnReadBack(const edit_ptr& current,
-                  const result<store::object>& answer);
+  void OnReadBack(const edit_ptr& current, const result<store::object>& answer);
   void OnOtherVersion(const edit_ptr& current,
                       const std::optional<store::object>& found);
   void RetryLater(const edit_ptr& current,
--- a/packages/config/config_watcher.cpp
+++ b/packages/config/config_watcher.cpp
@@ -52,8 +52,7 @@
   bool complete = true;
 };
 
-config_watcher::config_watcher(snapshot& in_force,
-                               store::object_store& store,
+config_watcher::config_watcher(snapshot& in_force, store::object_store& store,
                                peer::peer_network& peers, clock& time,
                                event_log& events)
     : in_force_(in_force),
@@ -111,9 +110,8 @@
 
 // An answer to an abandoned call still brings valid rows, but starts no
 // further call.
-void config_watcher::OnStoreAnswer(
-    std::uint64_t call, bool empty_is_early,
-    const result<store::object_list>& answer) {
+void config_watcher::OnStoreAnswer(std::uint64_t call, bool empty_is_early,
+                                   const result<store::object_list>& answer) {
   if (answer) ApplyList(*answer);
   if (call != call_) return;
   if (!answer) {
--- a/packages/config/tests/config_fleet.h
+++ b/packages/config/tests/config_fleet.h
@@ -58,8 +58,7 @@
     calls.push_back(std::move(done));
   }
   void ListHosts(
-      std::function<void(result<std::vector<store::listed_host>>)>)
-      override {}
+      std::function<void(result<std::vector<store::listed_host>>)>) override {}
 
   std::vector<list_callback> calls;
 };
--- a/packages/daemon/demand_exchange.h
+++ b/packages/daemon/demand_exchange.h
@@ -7,8 +7,8 @@
 #include "fleet/fleet_view.h"
 #include "peer/peer_network.h"
 #include "placement/controller.h"
-#include "store/object_store.h"
 #include "routing/queue_scheduler.h"
+#include "store/object_store.h"
 
 namespace bluebell::daemon {
 
--- a/packages/daemon/endpoint_listing.h
+++ b/packages/daemon/endpoint_listing.h
@@ -3,8 +3,8 @@
 #include <memory>
 
 #include "base/clock.h"
-#include "store/object_store.h"
 #include "routing/endpoint_view.h"
+#include "store/object_store.h"
 
 namespace bluebell::daemon {
 
--- a/packages/daemon/host_process.cpp
+++ b/packages/daemon/host_process.cpp
@@ -24,10 +24,10 @@
 #include "limits/admission_factory.h"
 #include "peer/websocket_peer_network.h"
 #include "placement/controller.h"
-#include "store/http_object_store.h"
 #include "routing/endpoint_poller.h"
 #include "routing/endpoint_view.h"
 #include "routing/queue_scheduler.h"
+#include "store/http_object_store.h"
 
 namespace bluebell::daemon {
 namespace {
--- a/packages/fleet/fleet.cpp
+++ b/packages/fleet/fleet.cpp
@@ -16,9 +16,9 @@
 namespace {
 
 using nlohmann::json;
+using std::chrono::milliseconds;
 using store::object;
 using store::object_list;
-using std::chrono::milliseconds;
 
 // Probes of the platform that may wait for an answer at the same time, so
 // that one slow answer does not interrupt the contact.
--- a/packages/fleet/record_tracker.h
+++ b/packages/fleet/record_tracker.h
@@ -26,8 +26,8 @@
 
   /// Takes in a complete list of the records, requested at `sent` and received
   /// at `now`. A list that was requested earlier than the last one is ignored.
-  void Update(const std::vector<store::object>& items,
-              clock::time_point sent, clock::time_point now);
+  void Update(const std::vector<store::object>& items, clock::time_point sent,
+              clock::time_point now);
 
   const std::map<host_id, entry>& entries() const { return entries_; }
   const entry* Find(const host_id& host) const;
--- a/packages/idempotency/record_deduplicator.h
+++ b/packages/idempotency/record_deduplicator.h
@@ -82,8 +82,7 @@
             callback done);
   void OnBeginLimit(const entry_ptr& current);
   void Write(const entry_ptr& current);
-  void OnWritten(const entry_ptr& current,
-                 const store::write_result& outcome);
+  void OnWritten(const entry_ptr& current, const store::write_result& outcome);
   void ReadBack(const entry_ptr& current);
   void OnRead(const entry_ptr& current, const result<store::object>& found);
   void Retry(const entry_ptr& current,
--- a/packages/limits/admission_factory.cpp
+++ b/packages/limits/admission_factory.cpp
@@ -16,9 +16,9 @@
 }
 
 result<std::unique_ptr<admission>> MakeAdmission(
-    admission_policy policy, config::snapshot& rows,
-    store::object_store& store, peer::peer_network& peers,
-    const fleet::fleet_view& fleet, clock& time, event_log& events) {
+    admission_policy policy, config::snapshot& rows, store::object_store& store,
+    peer::peer_network& peers, const fleet::fleet_view& fleet, clock& time,
+    event_log& events) {
   switch (policy) {
     case admission_policy::kShares:
       return std::make_unique<fleet_admission>(rows, store, peers, fleet, time,
--- a/packages/limits/admission_factory.h
+++ b/packages/limits/admission_factory.h
@@ -29,8 +29,8 @@
 
 /// Creates the admission of this host. The references must outlive it.
 result<std::unique_ptr<admission>> MakeAdmission(
-    admission_policy policy, config::snapshot& rows,
-    store::object_store& store, peer::peer_network& peers,
-    const fleet::fleet_view& fleet, clock& time, event_log& events);
+    admission_policy policy, config::snapshot& rows, store::object_store& store,
+    peer::peer_network& peers, const fleet::fleet_view& fleet, clock& time,
+    event_log& events);
 
 }  // namespace bluebell::limits
--- a/packages/limits/share_ledger.h
+++ b/packages/limits/share_ledger.h
@@ -80,8 +80,7 @@
   void Write(const account_id& account, budget& own, share_record next,
              const share& mine);
   void OnWritten(const account_id& account, const open_write& sent,
-                 const share_record& next,
-                 const store::write_result& outcome);
+                 const share_record& next, const store::write_result& outcome);
   void Confirm(const account_id& account, budget& own, int parts,
                std::uint64_t span);
   void SetParts(const account_id& account, budget& own, int parts);
--- a/packages/placement/intent_log.cpp
+++ b/packages/placement/intent_log.cpp
@@ -117,8 +117,7 @@
 
 // Takes over version and loads of an object that this controller did not
 // write. Until the next write, nothing counts as covered.
-void intent_log::Merge(const endpoint_id& engine,
-                       const store::object& found) {
+void intent_log::Merge(const endpoint_id& engine, const store::object& found) {
   record& known = records_[engine];
   known.version = found.version.value();
   known.written.clear();
--- a/packages/placement/intent_log.h
+++ b/packages/placement/intent_log.h
@@ -49,8 +49,7 @@
   };
 
   void OnWritten(const endpoint_id& engine, const std::string& writer,
-                 std::set<std::string> targets,
-                 const store::write_result& end,
+                 std::set<std::string> targets, const store::write_result& end,
                  const std::function<void()>& done);
   void Reread(const endpoint_id& engine, const std::string& writer,
               std::set<std::string> targets, std::function<void()> done);
--- a/packages/placement/tests/fake_fleet.h
+++ b/packages/placement/tests/fake_fleet.h
@@ -15,9 +15,9 @@
 #include "fleet/fleet_view.h"
 #include "placement/controller.h"
 #include "placement/order_sink.h"
-#include "store/memory_object_store.h"
 #include "routing/endpoint_poller.h"
 #include "routing/endpoint_view.h"
+#include "store/memory_object_store.h"
 
 namespace bluebell::placement {
 
--- a/packages/store/tests/store_harness.cpp
+++ b/packages/store/tests/store_harness.cpp
@@ -6,9 +6,9 @@
 
 #include "base/asio_clock.h"
 #include "base/manual_clock.h"
+#include "standins/platform_standin.h"
 #include "store/http_object_store.h"
 #include "store/memory_object_store.h"
-#include "standins/platform_standin.h"
 
 namespace bluebell::store {
 namespace {
