--- a/packages/edge/digest_exchange.cpp
+++ b/packages/edge/digest_exchange.cpp
@@ -1,10 +1,10 @@
 #include "edge/digest_exchange.h"
 
 #include <algorithm>
-#include <boost/asio/steady_timer.hpp>
 #include <set>
 
 #include "base/address.h"
+#include "edge/pause.h"
 
 namespace bluebell::edge {
 namespace {
@@ -30,12 +30,6 @@
 // A host that said nothing for this long gets digests only if it is listed.
 constexpr std::chrono::seconds kForgotten{10};
 
-void Pause(edge_state& host, milliseconds span, asio::yield_context yield) {
-  asio::steady_timer timer(host.io, span);
-  failure ignored;
-  timer.async_wait(yield[ignored]);
-}
-
 }  // namespace
 
 result<std::unique_ptr<digest_exchange>> digest_exchange::Create(
@@ -132,7 +126,7 @@
   while (true) {
     const auto interval = Interval();
     host_.quota.Divide();
-    SendToAll();
+    SendNow();
     host_.connections.CloseExpired();
     wants_told_.clear();
     for (const auto& silent : host_.directory.TakeSilent()) {
@@ -140,7 +134,7 @@
       demand_.erase(silent);
       host_.log.Write("host_silent", {{"peer", silent.value()}});
     }
-    Pause(host_, interval, yield);
+    Pause(host_.io, interval, yield);
   }
 }
 
@@ -168,7 +162,7 @@
     }
     // While no other host was heard, the fleet may still be starting.
     const bool settled = written && hosts && !host_.directory.peers().empty();
-    Pause(host_, settled ? kListInterval : kListRetry, yield);
+    Pause(host_.io, settled ? kListInterval : kListRetry, yield);
   }
 }
 
@@ -196,8 +190,6 @@
     SendTo(address, kDigestTag, bytes);
 }
 
-void digest_exchange::SendNow() { SendToAll(); }
-
 serving::host_digest digest_exchange::Partial() const {
   serving::host_digest digest;
   digest.partial = true;
@@ -237,7 +229,7 @@
   return digest;
 }
 
-void digest_exchange::SendToAll() {
+void digest_exchange::SendNow() {
   const auto targets = Targets();
   auto digest = Compose();
   const auto common = serving::EncodeDigest(digest);
--- a/packages/edge/digest_exchange.h
+++ b/packages/edge/digest_exchange.h
@@ -56,7 +56,6 @@
   serving::host_digest Compose();
   void Receive(std::string_view bytes, const std::string& from);
   void SendTo(const std::string& address, char tag, const std::string& bytes);
-  void SendToAll();
   serving::host_digest Partial() const;
   std::map<host_id, std::string> Targets() const;
   milliseconds Interval() const;
--- a/packages/edge/edge_host.cpp
+++ b/packages/edge/edge_host.cpp
@@ -1,10 +1,10 @@
 #include "edge/edge_host.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <random>
 
 #include "edge/digest_exchange.h"
 #include "edge/edge_state.h"
+#include "edge/pause.h"
 #include "edge/placement_runner.h"
 #include "edge/request_relay.h"
 #include "edge/store_sync.h"
@@ -185,9 +185,7 @@
     while (state.time.now() < last) {
       const bool served = state.time.now() >= state.refuse_from;
       if (served && all->callers->open_requests() == 0) break;
-      boost::asio::steady_timer timer(state.io, kStopStep);
-      boost::system::error_code ignored;
-      timer.async_wait(yield[ignored]);
+      Pause(state.io, kStopStep, yield);
     }
     state.log.Write(
         "host_stopped",
--- a/packages/edge/placement_runner.cpp
+++ b/packages/edge/placement_runner.cpp
@@ -1,9 +1,9 @@
 #include "edge/placement_runner.h"
 
 #include <algorithm>
-#include <boost/asio/steady_timer.hpp>
 #include <cmath>
 
+#include "edge/pause.h"
 #include "gateway/network.h"
 #include "serving/adapter_planner.h"
 
@@ -81,7 +81,7 @@
           acts ? "placement_begins" : "placement_ends",
           {{"fencing", std::to_string(host_.duty.fencing_number())}});
     }
-    Pause(kDutyStep, yield);
+    Pause(host_.io, kDutyStep, yield);
   }
 }
 
@@ -109,7 +109,7 @@
 void placement_runner::RunPlanning(boost::asio::yield_context yield) {
   planned_ = host_.time.now();
   while (true) {
-    Pause(kPlanInterval, yield);
+    Pause(host_.io, kPlanInterval, yield);
     const auto now = host_.time.now();
     const double passed = std::chrono::duration<double>(now - planned_).count();
     planned_ = now;
@@ -268,7 +268,7 @@
   const auto patience =
       std::chrono::duration<double>(2 + kOrderPatience * expected_s);
   if (order.kind == order_kind::kLoad) {
-    Pause(milliseconds(static_cast<int>(expected_s * 900)), yield);
+    Pause(host_.io, milliseconds(static_cast<int>(expected_s * 900)), yield);
   }
   while (host_.time.now() - begun < patience) {
     const auto report = Report(order.engine, yield);
@@ -295,7 +295,7 @@
                                      .count())}});
       return;
     }
-    Pause(kReportInterval, yield);
+    Pause(host_.io, kReportInterval, yield);
   }
 }
 
@@ -427,7 +427,8 @@
       continue;
     }
     if (loads) {
-      if (result == order_result::kAccepted) Pause(kAdapterLoad, yield);
+      if (result == order_result::kAccepted)
+        Pause(host_.io, kAdapterLoad, yield);
       Publish(order->engine, order->model, order->adapter, true);
       return;
     }
@@ -511,11 +512,4 @@
   return rate;
 }
 
-void placement_runner::Pause(milliseconds span,
-                             boost::asio::yield_context yield) {
-  boost::asio::steady_timer timer(host_.io, span);
-  boost::system::error_code ignored;
-  timer.async_wait(yield[ignored]);
-}
-
 }  // namespace bluebell::edge
--- a/packages/edge/placement_runner.h
+++ b/packages/edge/placement_runner.h
@@ -70,7 +70,6 @@
   void Publish(const endpoint_id& id, const model_id& model,
                const adapter_id& adapter, bool present);
   double AdapterRate(const model_id& model, const adapter_id& adapter) const;
-  void Pause(milliseconds span, boost::asio::yield_context yield);
   std::vector<serving::residency_notice> Notices();
 
   edge_state& host_;
--- a/packages/edge/store_sync.cpp
+++ b/packages/edge/store_sync.cpp
@@ -1,7 +1,8 @@
 #include "edge/store_sync.h"
 
 #include <algorithm>
-#include <boost/asio/steady_timer.hpp>
+
+#include "edge/pause.h"
 
 namespace bluebell::edge {
 namespace {
@@ -40,11 +41,12 @@
     const bool has_newest =
         host_.config != nullptr && host_.config->version >= newest_version_;
     if (!IsReader() && has_newest && age && *age < kFollowedAge) {
-      Pause(kFollowStep, yield);
+      Pause(host_.io, kFollowStep, yield);
       continue;
     }
     ReadConfig(yield);
-    Pause(store_failures_ > 0 ? RetryPause() : kConfigInterval, yield);
+    Pause(host_.io, store_failures_ > 0 ? RetryPause() : kConfigInterval,
+          yield);
   }
 }
 
@@ -63,7 +65,7 @@
     const auto now = host_.time.now();
     if (!IsReader() && now - records_at_ < kFollowedAge) {
       reads_ = false;
-      Pause(kFollowStep, yield);
+      Pause(host_.io, kFollowStep, yield);
       continue;
     }
     const auto read = host_.store.ListEngines(yield);
@@ -77,13 +79,13 @@
           host_.time.now() - host_.store_failed_at < kRecordsReturn;
       if (log_.Update(**read, keep)) ApplyRecords(log_.Records());
     }
-    Pause(read ? kEnginesInterval : RetryPause(), yield);
+    Pause(host_.io, read ? kEnginesInterval : RetryPause(), yield);
   }
 }
 
 void store_sync::RunFollow(boost::asio::yield_context yield) {
   while (true) {
-    Pause(kFollowInterval, yield);
+    Pause(host_.io, kFollowInterval, yield);
     if (IsReader()) continue;
     // A reader that does not answer is left for the next one.
     if (host_.time.now() - answered_at_ > kReaderPatience) {
@@ -214,10 +216,4 @@
   return std::min(kRetryInterval * (1 << doublings), kMostRetryInterval);
 }
 
-void store_sync::Pause(milliseconds span, boost::asio::yield_context yield) {
-  boost::asio::steady_timer timer(host_.io, span);
-  boost::system::error_code ignored;
-  timer.async_wait(yield[ignored]);
-}
-
 }  // namespace bluebell::edge
--- a/packages/edge/store_sync.h
+++ b/packages/edge/store_sync.h
@@ -47,7 +47,6 @@
   void Apply(std::shared_ptr<const serving::serving_config> read);
   void ApplyRecords(std::vector<serving::engine_record> records);
   milliseconds RetryPause() const;
-  void Pause(milliseconds span, boost::asio::yield_context yield);
 
   edge_state& host_;
   bool store_lost_ = false;
