serving: hosts of a zone share outcomes and pace; busy models go to fast engines

A host of 82 sends to each engine about every twelve seconds, so it knew neither their pace nor their failures, and the planner placed copies by load time alone. Ruled out: waits in the host (1 % of the requests) and resends (0.1 %). Change: hosts of one zone exchange counts of failed sends and the logarithm of time between events; the engine's part of it is estimated apart from the model's. The planner counts a copy at a slow engine for a part, spreads busy models over engines, keeps a busy copy when a rare model has none, and takes the fifth copy of an idle model rather than the second. A resident model that the configuration does not name ended planning with an exception; it makes way now (test failed first).

--- a/packages/edge/digest_exchange.cpp
+++ b/packages/edge/digest_exchange.cpp
@@ -112,6 +112,7 @@
                                    {"address", digest->front_address}});
   }
   host_.fleet.OnPeerLoad(digest->host, digest->in_flight);
+  host_.fleet.OnPeerOutcomes(digest->outcomes);
   host_.quota.OnReport(digest->host, digest->incarnation,
                        milliseconds(digest->uptime_ms), digest->quota_uses);
   for (const auto& [fingerprint, crashes] : digest->crashes) {
@@ -233,14 +234,19 @@
   const auto targets = Targets();
   auto digest = Compose();
   const auto common = serving::EncodeDigest(digest);
+  digest.outcomes = host_.fleet.TakeOutcomes();
+  const auto for_own_zone = serving::EncodeDigest(digest);
   const auto* placer = host_.directory.Placer();
   const host_id holder = placer == nullptr ? host_id() : placer->newest.host;
   for (const auto& [id, address] : targets) {
-    if (id != holder) SendTo(address, kDigestTag, common);
+    if (id == holder) continue;
+    SendTo(address, kDigestTag,
+           host_.directory.IsInOwnZone(id) ? for_own_zone : common);
   }
   if (placer == nullptr) return;
   digest.number = ++number_;
   digest.demand = host_.demand.Rates();
+  if (!host_.directory.IsInOwnZone(holder)) digest.outcomes = {};
   SendTo(placer->digest_address, kDigestTag, serving::EncodeDigest(digest));
 }
 
--- a/packages/edge/placement_runner.cpp
+++ b/packages/edge/placement_runner.cpp
@@ -37,7 +37,7 @@
 constexpr double kStoreRatePart = 0.85;
 constexpr double kMostStoreLoads = 2;
 // Part of an engine's slots that a copy fills comfortably.
-constexpr double kComfortPart = 0.4;
+constexpr double kComfortPart = 0.3;
 // Requests hold a slot for at least this long in the plan, so that the first
 // short ones do not make a copy look faster than it is.
 constexpr double kLeastHeldSeconds = 0.6;
@@ -165,6 +165,7 @@
     planned.in_memory = work.ledger.in_memory();
     planned.on_disk = work.ledger.on_disk();
     planned.busy = !IsFree(work);
+    planned.pace = host_.fleet.pace().Of(id);
     if (work.loading && !planned.resident.count(*work.loading)) {
       planned.loading = work.loading;
     }
@@ -455,7 +456,8 @@
     if (own == nullptr) continue;
     spec = own;
     candidates.push_back({id, work.ledger.resident(), own->adapter_slots,
-                          own->weights_mb - work.ledger.UsedMb(*own)});
+                          own->weights_mb - work.ledger.UsedMb(*own),
+                          host_.fleet.pace().Of(id)});
   }
   if (spec == nullptr) return std::nullopt;
   double adapter_mb = 0;
--- a/packages/edge/relayed_request.h
+++ b/packages/edge/relayed_request.h
@@ -95,6 +95,8 @@
   // off, or resumed by another send after its last event.
   send_end RelayStream(const endpoint_id& id, engine_connections::lease& lease,
                        const http_answer& head, const engine_answer& facts);
+  // Pace of the last send, none if it answered too little.
+  std::optional<clock::duration> Step() const;
   // A repeatable request is not left with an engine that has stalled.
   milliseconds AnswerLimit(double usual_answer) const;
   int Urgency() const;
@@ -155,6 +157,9 @@
   gateway::endpoint_connection* open_ = nullptr;
   clock::time_point sent_at_;
   std::optional<clock::duration> first_answer_;
+  /// When the first part of the stream arrived, and the events after it.
+  std::optional<clock::time_point> first_part_at_;
+  int later_events_ = 0;
   bool reused_ = false;
   /// The send reached an engine; without a connection it did not.
   bool arrived_ = false;
--- a/packages/edge/request_send.cpp
+++ b/packages/edge/request_send.cpp
@@ -27,6 +27,8 @@
 constexpr int kFirstUrgency = 2;
 // A refused connection answers within a round trip.
 constexpr milliseconds kCrashCheck{200};
+// Fewer events than this are too few to tell the pace of an engine.
+constexpr int kLeastPaceEvents = 3;
 constexpr std::size_t kMostAnswerBytes = 16 * 1024 * 1024;
 
 }  // namespace
@@ -81,7 +83,7 @@
   if (!lease) {
     last_detail_ = lease.error().detail;
     host_.connections.Drop(id);
-    host_.fleet.OnEnd(id, {true, std::nullopt, clock::duration(0)});
+    host_.fleet.OnEnd(id, {true, std::nullopt, clock::duration(0), {}, {}});
     if (Over())
       return caller_gone_ ? send_end::kCallerGone : send_end::kExpired;
     return send_end::kNotRun;
@@ -89,7 +91,7 @@
   reused_ = lease->reused;
   if (Over() || Left() <= kDeadlineMargin) {
     host_.connections.Return(id, std::move(*lease), kDefaultIdle);
-    host_.fleet.OnEnd(id, {false, std::nullopt, clock::duration(0)});
+    host_.fleet.OnEnd(id, {false, std::nullopt, clock::duration(0), {}, {}});
     if (!caller_gone_) expired_ = true;
     return caller_gone_ ? send_end::kCallerGone : send_end::kExpired;
   }
@@ -101,7 +103,8 @@
       (end == send_end::kNotRun && !misdirected_) ||
       (end == send_end::kExpired && !first_answer_) || broke_off_;
   if (end == send_end::kUnknown) CheckForCrash(address);
-  host_.fleet.OnEnd(id, {failed, first_answer_, host_.time.now() - sent_at_});
+  host_.fleet.OnEnd(id, {failed, first_answer_, host_.time.now() - sent_at_,
+                         need_.model, Step()});
   host_.changed.Notify();
   return end;
 }
@@ -111,6 +114,8 @@
                                    double usual_answer) {
   arrived_ = true;
   first_answer_.reset();
+  first_part_at_.reset();
+  later_events_ = 0;
   broke_off_ = false;
   last_detail_.clear();
   misdirected_ = false;
@@ -242,6 +247,11 @@
     }
     last_event_at_ = now;
     const std::string events = pending.substr(0, whole);
+    if (first_part_at_) {
+      later_events_ += CountEvents(events);
+    } else {
+      first_part_at_ = now;
+    }
     pending.erase(0, whole);
     if (route_->resumable) {
       const auto event = LastEventId(events);
@@ -266,6 +276,14 @@
   return send_end::kDelivered;
 }
 
+// Streams are measured by the time between events, which prompts of different
+// lengths do not change; plain answers by the time to the answer.
+std::optional<clock::duration> relayed_request::Step() const {
+  if (!route_->streaming) return first_answer_;
+  if (!first_part_at_ || later_events_ < kLeastPaceEvents) return std::nullopt;
+  return (*last_event_at_ - *first_part_at_) / later_events_;
+}
+
 milliseconds relayed_request::AnswerLimit(double usual_answer) const {
   const auto left = std::max(Left(), milliseconds(1));
   if (!MayRepeat() || runs_ + 1 >= route_->max_attempts) return left;
--- a/packages/edge/stream_events.cpp
+++ b/packages/edge/stream_events.cpp
@@ -13,6 +13,22 @@
   return end;
 }
 
+int CountEvents(const std::string& events) {
+  int count = 0;
+  // A carriage return before a line feed does not separate events by itself.
+  bool line_empty = false;
+  for (const char byte : events) {
+    if (byte == '\r') continue;
+    if (byte != '\n') {
+      line_empty = false;
+    } else {
+      if (line_empty) ++count;
+      line_empty = true;
+    }
+  }
+  return count;
+}
+
 std::string LastEventId(const std::string& events) {
   std::string id;
   std::size_t line = 0;
--- a/packages/edge/stream_events.h
+++ b/packages/edge/stream_events.h
@@ -8,6 +8,9 @@
 /// End position of the last complete server-sent event in `bytes`, or 0.
 std::size_t CompleteEvents(const std::string& bytes);
 
+/// Number of events in `events`, which ends with a complete one.
+int CountEvents(const std::string& events);
+
 /// Id of the last event in `events`, or empty if none has one.
 std::string LastEventId(const std::string& events);
 
--- a/packages/edge/tests/stream_events_test.cpp
+++ b/packages/edge/tests/stream_events_test.cpp
@@ -21,5 +21,11 @@
   EXPECT_EQ(LastEventId("id:\n\n"), "");
 }
 
+TEST(stream_events, CountsEventsOfBothLineEnds) {
+  EXPECT_EQ(CountEvents(""), 0);
+  EXPECT_EQ(CountEvents("id: 1\ndata: x\n\n"), 1);
+  EXPECT_EQ(CountEvents("id: 1\r\ndata: x\r\n\r\nid: 2\r\n\r\n"), 2);
+}
+
 }  // namespace
 }  // namespace bluebell::edge
--- a/packages/serving/adapter_planner.h
+++ b/packages/serving/adapter_planner.h
@@ -14,6 +14,8 @@
   resident_models resident;
   int adapter_slots = 0;
   double free_mb = 0;
+  /// Time that a step takes, as a multiple of a typical engine's.
+  double pace = 1;
 };
 
 /// Requests per second for an adapter.
@@ -22,7 +24,8 @@
 
 /// Gives the order that brings `adapter` closer to `wanted.model`'s engines:
 /// its load where a place is free, else the unload of the adapter that is
-/// asked for least. None if it is there already or nowhere possible.
+/// asked for least; at a fast engine rather than at a slow one. None if it is
+/// there already or nowhere possible.
 ///
 /// Load pattern: half of the short requests name one of dozens of adapters,
 /// and the engines together have about as many places as there are adapters
--- a/packages/serving/copy_planner.cpp
+++ b/packages/serving/copy_planner.cpp
@@ -15,12 +15,30 @@
 constexpr double kSwapGain = 2.0;
 // Copies of a model that nobody asks for.
 constexpr int kLeastCopies = 2;
+// Prompts and pauses queue up behind each other, so the load that an engine
+// serves without delay falls faster than its speed.
+constexpr double kStrengthExponent = 1.5;
+constexpr double kLeastStrength = 0.1;
+// Requests per second from which a model is not left at slow engines alone.
+constexpr double kBusyDemand = 1;
+// Seconds of loading that a typical step's length is worth: a model that is
+// asked for is loaded at a fast engine even if that takes longer.
+constexpr double kPaceSeconds = 4;
+// Seconds of loading that a comfortable load of the engine's other models is
+// worth, and that the copies which a victim has left are worth: an idle model
+// loses its fifth copy rather than its second.
+constexpr double kSharedSeconds = 4;
+constexpr double kLastCopySeconds = 5;
+// Strengths are sums of rounded fractions.
+constexpr double kRounding = 1e-6;
 
 struct model_state {
   const model_spec* spec = nullptr;
   double demand = 0;
   int copies = 0;
-  int wanted = 1;
+  /// Sum of the strengths of the engines that hold the copies.
+  double capacity = 0;
+  double wanted_capacity = 0;
 };
 
 class planner {
@@ -36,19 +54,23 @@
                                 kLastingWeight * demand->second.lasting);
       }
       model.demand = std::max(model.demand, kLeastDemand);
-      model.wanted = std::max(kLeastCopies,
-                              static_cast<int>(std::ceil(
-                                  model.demand / input.comfortable_per_copy)));
+      if (model.demand <= kLeastDemand) continue;
+      model.wanted_capacity = model.demand / input.comfortable_per_copy;
+      if (model.demand > kBusyDemand) {
+        model.wanted_capacity = std::max(1.0, std::ceil(model.wanted_capacity));
+      }
       if (demand != input.demand.end() && input.adapter_slots > 0) {
-        const int for_adapters =
-            (demand->second.adapters + input.adapter_slots - 1) /
-            input.adapter_slots;
-        model.wanted = std::max(model.wanted, for_adapters);
+        model.wanted_capacity =
+            std::max(model.wanted_capacity,
+                     std::ceil(static_cast<double>(demand->second.adapters) /
+                               input.adapter_slots));
       }
     }
     for (const auto& engine : input.engines) {
-      for (const auto& [model, adapters] : engine.resident) AddCopy(model, 1);
-      if (engine.loading) AddCopy(*engine.loading, 1);
+      for (const auto& [model, adapters] : engine.resident) {
+        AddCopy(model, 1, engine);
+      }
+      if (engine.loading) AddCopy(*engine.loading, 1, engine);
       used_.push_back(false);
     }
   }
@@ -59,16 +81,18 @@
   }
 
  private:
-  void AddCopy(const model_id& id, int change) {
+  void AddCopy(const model_id& id, int change, const planned_engine& engine) {
     const auto found = models_.find(id);
-    if (found != models_.end()) found->second.copies += change;
+    if (found == models_.end()) return;
+    found->second.copies += change;
+    found->second.capacity += change * engine.Strength();
   }
 
   // Models without a copy first, then by demand per copy.
   std::vector<model_id> ByNeed() const {
     std::vector<model_id> ids;
     for (const auto& [id, model] : models_) {
-      if (model.copies < model.wanted + Spare(model)) ids.push_back(id);
+      if (!IsServed(model, Spare(model))) ids.push_back(id);
     }
     std::sort(ids.begin(), ids.end(), [this](const auto& a, const auto& b) {
       return PerCopy(models_.at(a), 0) > PerCopy(models_.at(b), 0);
@@ -77,15 +101,39 @@
   }
 
   // One copy beyond the demand may use room that is free anyway.
-  static int Spare(const model_state& model) {
+  static double Spare(const model_state& model) {
     return model.demand > kLeastDemand ? 1 : 0;
   }
 
-  // Demand per copy after `change` copies; without a copy it is unbounded.
-  static double PerCopy(const model_state& model, int change) {
-    const int copies = model.copies + change;
+  static bool IsServed(const model_state& model, double spare) {
+    return model.copies >= kLeastCopies &&
+           model.capacity >= model.wanted_capacity + spare - kRounding;
+  }
+
+  // Demand per copy at a typical engine after `change` of the capacity;
+  // without a copy it is unbounded.
+  static double PerCopy(const model_state& model, double change) {
+    const double capacity = model.capacity + change;
     constexpr double kNoCopy = 1e9;
-    return copies <= 0 ? kNoCopy + model.demand : model.demand / copies;
+    return capacity <= kRounding ? kNoCopy + model.demand
+                                 : model.demand / capacity;
+  }
+
+  // What the engine's pace and its other models are worth in seconds of
+  // loading. Models that are hardly asked for leave the fast engines free.
+  double PlaceSeconds(const model_state& model,
+                      const planned_engine& engine) const {
+    if (model.demand <= kBusyDemand) return -engine.pace;
+    double load = 0;
+    for (const auto& [id, adapters] : engine.resident) {
+      const auto other = models_.find(id);
+      if (other == models_.end() || other->second.capacity <= kRounding) {
+        continue;
+      }
+      load += other->second.demand * engine.Strength() / other->second.capacity;
+    }
+    return kPaceSeconds * engine.pace +
+           kSharedSeconds * load / input_.comfortable_per_copy;
   }
 
   double LoadSeconds(const planned_engine& engine,
@@ -113,9 +161,8 @@
   }
 
   void PlaceCopies(model_state& model) {
-    while (model.copies < model.wanted + Spare(model)) {
-      const bool is_spare = model.copies >= model.wanted;
-      if (!PlaceOne(model, is_spare)) return;
+    while (!IsServed(model, Spare(model))) {
+      if (!PlaceOne(model, IsServed(model, 0))) return;
     }
   }
 
@@ -131,7 +178,8 @@
       const auto& id = model.spec->id;
       if (used_[i] || engine.busy || engine.resident.count(id)) continue;
       const bool from_store = FromStore(engine, id);
-      double cost = LoadSeconds(engine, *model.spec);
+      double cost =
+          LoadSeconds(engine, *model.spec) + PlaceSeconds(model, engine);
       const double free = FreeMb(engine);
       std::optional<model_id> victim;
       double victim_load = 0;
@@ -139,7 +187,7 @@
         if (is_spare) continue;
         victim = Victim(engine, model, model.spec->weights_mb - free);
         if (!victim) continue;
-        victim_load = PerCopy(models_.at(*victim), -1);
+        victim_load = Missed(*victim, engine);
         cost += 1 + victim_load;
       }
       if (from_store && store_loads_ <= 0) continue;
@@ -164,7 +212,7 @@
                          false,
                          need,
                          best_victim_load});
-      AddCopy(*best_victim, -1);
+      AddCopy(*best_victim, -1, engine);
     } else {
       orders_.push_back({order_kind::kLoad,
                          engine.id,
@@ -174,10 +222,21 @@
                          need,
                          0});
     }
-    ++model.copies;
+    AddCopy(model.spec->id, 1, engine);
     return true;
   }
 
+  // How much the copy of `id` on `engine` is missed: requests per second and
+  // remaining copy, and more if few copies remain. A model that the
+  // configuration no longer names is not missed.
+  double Missed(const model_id& id, const planned_engine& engine) const {
+    const auto found = models_.find(id);
+    if (found == models_.end()) return 0;
+    const auto& model = found->second;
+    return PerCopy(model, -engine.Strength()) +
+           kLastCopySeconds / std::max(1, model.copies - 1);
+  }
+
   // The model whose copy on `engine` is missed least, if it may make way and
   // the engine's models can free `missing_mb` in total.
   std::optional<model_id> Victim(const planned_engine& engine,
@@ -190,16 +249,24 @@
       const auto found = models_.find(id);
       if (found == models_.end()) return id;
       const auto& model = found->second;
-      const bool urgent = PerCopy(wanted, 0) > input_.comfortable_per_copy;
+      const bool urgent =
+          PerCopy(wanted, 0) > input_.comfortable_per_copy ||
+          (wanted.capacity < 1 - kRounding && wanted.demand > kBusyDemand);
       if (model.copies < 2 || (model.copies <= kLeastCopies && !urgent)) {
         continue;
       }
-      const double load = PerCopy(model, -1);
-      if (load * kSwapGain > PerCopy(wanted, 1) && wanted.copies > 0) continue;
+      const double load = PerCopy(model, -engine.Strength());
+      // A model without a copy waits for a victim that is not busy itself.
+      const double gain =
+          wanted.copies > 0
+              ? PerCopy(wanted, engine.Strength())
+              : std::max(wanted.demand, input_.comfortable_per_copy);
+      if (load * kSwapGain > gain) continue;
       movable_mb += model.spec->weights_mb;
-      if (!victim || load < least) {
+      const double missed = Missed(id, engine);
+      if (!victim || missed < least) {
         victim = id;
-        least = load;
+        least = missed;
       }
     }
     if (movable_mb < missing_mb) return std::nullopt;
@@ -215,6 +282,10 @@
 
 }  // namespace
 
+double planned_engine::Strength() const {
+  return std::clamp(std::pow(pace, -kStrengthExponent), kLeastStrength, 1.0);
+}
+
 std::vector<placement_order> PlanCopies(const planner_input& input) {
   return planner(input).Run();
 }
--- a/packages/serving/copy_planner.h
+++ b/packages/serving/copy_planner.h
@@ -37,6 +37,11 @@
   bool busy = false;
   /// The model that is being loaded; counts as a copy and as memory.
   std::optional<model_id> loading;
+  /// Time that a step takes, as a multiple of a typical engine's.
+  double pace = 1;
+
+  /// Part of a typical engine's load that this one serves without delay.
+  double Strength() const;
 };
 
 /// Demand for one model over all hosts, requests per second.
@@ -66,12 +71,14 @@
 /// Every model gets two copies where there is room, so that one that is asked
 /// for suddenly, or whose engine crashes, is there at once. Further copies
 /// follow the demand of seconds and the number of adapters in use; the copy
-/// that is missed least makes way, never the last one of a model. Loads
-/// from an engine's own memory or disk go before loads from the weight store.
+/// that is missed least makes way, never the last one of a model. A copy at a
+/// slow engine counts for a part only, so that busy models come to fast ones.
+/// Loads from an engine's own memory or disk go before loads from the weight
+/// store.
 ///
 /// Load pattern: a few models receive most requests, which these are changes
-/// every ten seconds, engines crash and come back empty, and rare models are
-/// asked for at once.
+/// every ten seconds, a third of the engines is slow, engines crash and come
+/// back empty, and rare models are asked for at once.
 std::vector<placement_order> PlanCopies(const planner_input& input);
 
 }  // namespace bluebell::serving
--- a/packages/serving/engine_fleet.cpp
+++ b/packages/serving/engine_fleet.cpp
@@ -119,6 +119,7 @@
       ++entry;
     } else {
       changed = true;
+      pace_.Forget(entry->first);
       entry = engines_.erase(entry);
     }
   }
@@ -173,7 +174,9 @@
 double engine_fleet::Cost(const state& engine) const {
   const double taken =
       static_cast<double>(engine.InFlight()) / std::max(1, engine.record.slots);
-  double cost = engine.answer_s * (0.5 + taken) + WaitSeconds(engine);
+  double cost =
+      kStartAnswerSeconds * pace_.Of(engine.record.id) * (0.5 + taken) +
+      WaitSeconds(engine);
   const double age = Seconds(clock_.now() - engine.failed_at);
   cost += kFailureSeconds * engine.failing *
           std::exp2(-std::max(0.0, age) / kForgiveSeconds);
@@ -239,16 +242,55 @@
   auto* found = Find(engine);
   if (found == nullptr) return;
   found->own_in_flight = std::max(0, found->own_in_flight - 1);
-  const auto now = clock_.now();
-  const double age = std::max(0.0, Seconds(now - found->failed_at));
-  const double before = found->failing * std::exp2(-age / kForgiveSeconds);
-  found->failing =
-      before + kOutcomeWeight * ((outcome.failed ? 1.0 : 0.0) - before);
-  found->failed_at = now;
+  CountOutcomes(*found, 1, outcome.failed ? 1 : 0);
+  auto& sends = sends_[engine];
+  sends.engine = engine;
+  ++sends.ended;
+  if (outcome.failed) ++sends.failed;
   if (outcome.first_answer) {
     Average(found->answer_s, Seconds(*outcome.first_answer));
     if (!outcome.failed) Average(found->held_s, Seconds(outcome.held));
   }
+  if (outcome.step && *outcome.step > clock::duration(0)) {
+    const double log_seconds = std::log(Seconds(*outcome.step));
+    pace_.OnSample({engine, outcome.model, log_seconds, 1});
+    auto& sum = paces_[{engine, outcome.model}];
+    sum.engine = engine;
+    sum.model = outcome.model;
+    ++sum.count;
+    sum.log_seconds += (log_seconds - sum.log_seconds) / sum.count;
+  }
+}
+
+// Moves the share of failures by `ended` outcomes at once.
+void engine_fleet::CountOutcomes(state& engine, int ended, int failed) {
+  if (ended <= 0) return;
+  const auto now = clock_.now();
+  const double age = std::max(0.0, Seconds(now - engine.failed_at));
+  const double before = engine.failing * std::exp2(-age / kForgiveSeconds);
+  const double weight = 1 - std::pow(1 - kOutcomeWeight, ended);
+  const double share = static_cast<double>(failed) / ended;
+  engine.failing = before + weight * (share - before);
+  engine.failed_at = now;
+}
+
+void engine_fleet::OnPeerOutcomes(const outcome_report& report) {
+  for (const auto& sends : report.sends) {
+    auto* engine = Find(sends.engine);
+    if (engine != nullptr) CountOutcomes(*engine, sends.ended, sends.failed);
+  }
+  for (const auto& sample : report.paces) {
+    if (Find(sample.engine) != nullptr) pace_.OnSample(sample);
+  }
+}
+
+outcome_report engine_fleet::TakeOutcomes() {
+  outcome_report report;
+  for (auto& [engine, sends] : sends_) report.sends.push_back(sends);
+  for (auto& [key, sample] : paces_) report.paces.push_back(sample);
+  sends_.clear();
+  paces_.clear();
+  return report;
 }
 
 engine_fleet::state* engine_fleet::Find(const endpoint_id& engine) {
--- a/packages/serving/engine_fleet.h
+++ b/packages/serving/engine_fleet.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "serving/engine_pace.h"
 #include "serving/engine_record.h"
 
 namespace bluebell::serving {
@@ -46,6 +47,24 @@
   std::optional<clock::duration> first_answer;
   /// Time during which the request held a slot.
   clock::duration held{0};
+  /// Model that ran; empty for plain services.
+  model_id model;
+  /// Mean time between two events of a stream, or to a whole answer; none if
+  /// there were not enough events.
+  std::optional<clock::duration> step;
+};
+
+/// Sends to one endpoint that ended, and how many of them failed.
+struct send_count {
+  endpoint_id engine;
+  int ended = 0;
+  int failed = 0;
+};
+
+/// Outcomes of one host's sends since its report before.
+struct outcome_report {
+  std::vector<send_count> sends;
+  std::vector<pace_sample> paces;
 };
 
 enum class choice_status {
@@ -70,9 +89,9 @@
 /// One host's picture of all endpoints and its choice among them.
 ///
 /// The picture joins the stored records, the placement holder's notices, the
-/// load that each endpoint states in its answers, the requests that this and
-/// the other hosts have in flight, and the outcome of recent sends. Health
-/// answers are not used: engines that fail or stall are found by outcomes.
+/// requests that this and the other hosts have in flight, and the outcomes of
+/// recent sends of this and of other hosts. Health answers are not used:
+/// engines that fail or stall are found by outcomes.
 ///
 /// Load pattern: engines of one service differ in speed by a factor of three,
 /// some turn slow or fail part of their requests while they look healthy, and
@@ -113,7 +132,10 @@
   };
 
   engine_fleet(const clock& source, zone_id own_zone, std::uint64_t seed)
-      : clock_(source), own_zone_(std::move(own_zone)), random_(seed) {}
+      : clock_(source),
+        pace_(source),
+        own_zone_(std::move(own_zone)),
+        random_(seed) {}
 
   /// Replaces the records by those the store lists now. Returns whether any
   /// record changed.
@@ -126,6 +148,11 @@
   void OnPeerLoad(const host_id& sender,
                   const std::map<endpoint_id, int>& in_flight);
   void OnPeerGone(const host_id& sender);
+  /// Outcomes of another host of this zone. Those of other zones tell little:
+  /// an engine may fail for the callers of one zone only.
+  void OnPeerOutcomes(const outcome_report& report);
+  /// Own outcomes since the last call.
+  outcome_report TakeOutcomes();
 
   /// Draws an engine; the less time to the first answer it is expected to
   /// take, the more often.
@@ -140,18 +167,24 @@
   state* Find(const endpoint_id& engine);
   const state* Find(const endpoint_id& engine) const;
   const std::map<endpoint_id, state>& engines() const { return engines_; }
+  const engine_pace& pace() const { return pace_; }
   std::map<endpoint_id, int> OwnInFlight() const;
 
  private:
   // Expected wait for a free slot, seconds.
   double WaitSeconds(const state& engine) const;
   double Cost(const state& engine) const;
+  void CountOutcomes(state& engine, int ended, int failed);
 
   const clock& clock_;
+  engine_pace pace_;
   zone_id own_zone_;
   std::mt19937_64 random_;
   std::map<endpoint_id, state> engines_;
   std::set<endpoint_id> misdirected_;
+  // For the next report.
+  std::map<endpoint_id, send_count> sends_;
+  std::map<std::pair<endpoint_id, model_id>, pace_sample> paces_;
 };
 
 }  // namespace bluebell::serving
--- a/packages/serving/host_digest.cpp
+++ b/packages/serving/host_digest.cpp
@@ -7,6 +7,9 @@
 
 using nlohmann::json;
 
+// Logarithms travel as whole thousandths.
+constexpr double kLogScale = 1000;
+
 json EncodeNotice(const residency_notice& notice) {
   const auto age =
       std::chrono::duration_cast<std::chrono::milliseconds>(notice.age);
@@ -54,6 +57,44 @@
   }
 }
 
+void EncodeOutcomes(const outcome_report& report, json& out) {
+  if (!report.sends.empty()) {
+    json& sends = out["sends"] = json::array();
+    for (const auto& count : report.sends) {
+      sends.push_back(
+          json::array({count.engine.value(), count.ended, count.failed}));
+    }
+  }
+  if (!report.paces.empty()) {
+    json& paces = out["paces"] = json::array();
+    for (const auto& sample : report.paces) {
+      paces.push_back(json::array(
+          {sample.engine.value(), sample.model.value(),
+           static_cast<std::int64_t>(sample.log_seconds * kLogScale),
+           sample.count}));
+    }
+  }
+}
+
+outcome_report DecodeOutcomes(const json& in) {
+  outcome_report report;
+  if (in.contains("sends")) {
+    for (const auto& row : in["sends"]) {
+      report.sends.push_back({endpoint_id(row.at(0).get<std::string>()),
+                              row.at(1).get<int>(), row.at(2).get<int>()});
+    }
+  }
+  if (in.contains("paces")) {
+    for (const auto& row : in["paces"]) {
+      report.paces.push_back({endpoint_id(row.at(0).get<std::string>()),
+                              model_id(row.at(1).get<std::string>()),
+                              row.at(2).get<double>() / kLogScale,
+                              row.at(3).get<int>()});
+    }
+  }
+  return report;
+}
+
 // Wants, notices and crashes, in every digest that has some.
 void EncodeMessages(const host_digest& digest, json& out) {
   if (!digest.wants.empty()) {
@@ -106,6 +147,7 @@
   out["host"] = digest.host.value();
   out["inc"] = digest.incarnation;
   if (!digest.partial) EncodeState(digest, out);
+  EncodeOutcomes(digest.outcomes, out);
   EncodeMessages(digest, out);
   const auto bytes = json::to_cbor(out);
   return {bytes.begin(), bytes.end()};
@@ -119,6 +161,7 @@
     digest.incarnation = in.at("inc").get<std::string>();
     digest.partial = !in.contains("n");
     if (!digest.partial) DecodeState(in, digest);
+    digest.outcomes = DecodeOutcomes(in);
     if (in.contains("wants")) {
       for (const auto& row : in["wants"]) {
         digest.wants.push_back({model_id(row.at(0).get<std::string>()),
--- a/packages/serving/host_digest.h
+++ b/packages/serving/host_digest.h
@@ -50,6 +50,8 @@
   /// A reply is wanted, because the sender has just started.
   bool hello = false;
   std::map<endpoint_id, int> in_flight;
+  /// Only in digests to hosts of the same zone.
+  outcome_report outcomes;
   std::vector<quota_use> quota_uses;
   /// Only in digests to the placement holder.
   std::vector<model_use> demand;
--- a/packages/serving/host_directory.cpp
+++ b/packages/serving/host_directory.cpp
@@ -53,6 +53,11 @@
   return near;
 }
 
+bool host_directory::IsInOwnZone(const host_id& host) const {
+  const auto found = peers_.find(host);
+  return found != peers_.end() && found->second.newest.zone == zone_;
+}
+
 int host_directory::HostCount() const {
   int count = 1;
   const auto now = clock_.now();
--- a/packages/serving/host_directory.h
+++ b/packages/serving/host_directory.h
@@ -46,6 +46,8 @@
   /// Hosts that may hold a share of a common bound, this one included: those
   /// heard within `kCounted`.
   int HostCount() const;
+  /// Whether another host that was heard is in the zone of this one.
+  bool IsInOwnZone(const host_id& host) const;
   const std::map<host_id, peer>& peers() const { return peers_; }
   /// The host that was last heard to give orders to engines.
   const peer* Placer() const;
--- a/packages/serving/tests/adapter_planner_test.cpp
+++ b/packages/serving/tests/adapter_planner_test.cpp
@@ -9,7 +9,7 @@
 
 adapter_candidate MakeEngine(const std::string& id,
                              const std::vector<std::string>& adapters) {
-  adapter_candidate engine{endpoint_id(id), {}, 2, 100};
+  adapter_candidate engine{endpoint_id(id), {}, 2, 100, 1};
   auto& held = engine.resident[kModel];
   for (const auto& adapter : adapters) held.insert(adapter_id(adapter));
   return engine;
--- a/packages/serving/tests/copy_planner_test.cpp
+++ b/packages/serving/tests/copy_planner_test.cpp
@@ -131,5 +131,78 @@
   EXPECT_GE(PlanCopies(input).size(), 2U);
 }
 
+// Load pattern: a model that turns busy has both copies at slow engines, and a
+// fast engine is full of models that nobody asks for. Without the new copy a
+// third of the requests there pauses too long.
+TEST(copy_planner, BusyModelComesToAFastEngine) {
+  auto input = MakeInput(
+      {MakeEngine("slow1", {"busy", "a", "b"}),
+       MakeEngine("slow2", {"busy", "a", "b"}), MakeEngine("fast", {"a", "b"}),
+       MakeEngine("typical", {"c", "d"})},
+      {"busy", "a", "b", "c", "d"});
+  input.engines[0].pace = input.engines[1].pace = 1.8;
+  input.engines[2].pace = 0.75;
+  input.demand[model_id("busy")].recent = 5;
+  input.comfortable_per_copy = 10;
+  const auto orders = PlanCopies(input);
+  EXPECT_TRUE(std::any_of(orders.begin(), orders.end(), [](const auto& order) {
+    return order.engine == endpoint_id("fast") &&
+           order.kind == order_kind::kLoad && order.model == model_id("busy");
+  }));
+}
+
+// Guards against moving models that nobody asks for only because their engines
+// are slow: each load reads from the weight store.
+TEST(copy_planner, IdleModelStaysAtSlowEngines) {
+  auto input = MakeInput({MakeEngine("slow1", {"a"}),
+                          MakeEngine("slow2", {"a"}), MakeEngine("fast", {})},
+                         {"a"});
+  input.engines[0].pace = input.engines[1].pace = 1.8;
+  EXPECT_TRUE(PlanCopies(input).empty());
+}
+
+// Before traffic starts, the busy models are the ones with many copies. Guards
+// against taking one of two copies while another model has five, only because
+// the load there is shorter.
+TEST(copy_planner, ModelWithManyCopiesMakesWay) {
+  std::vector<planned_engine> engines = {MakeEngine("e0", {"two", "a", "b"}),
+                                         MakeEngine("e1", {"two", "c", "d"})};
+  for (int i = 2; i < 7; ++i) {
+    engines.push_back(MakeEngine("e" + std::to_string(i), {"many", "c", "d"}));
+  }
+  engines[0].on_disk.insert(model_id("new"));
+  auto input =
+      MakeInput(std::move(engines), {"many", "two", "a", "b", "c", "d", "new"});
+  const auto orders = PlanCopies(input);
+  ASSERT_FALSE(orders.empty());
+  EXPECT_NE(orders[0].engine, endpoint_id("e0"));
+  EXPECT_NE(orders[0].model, model_id("two"));
+}
+
+// Guards against a busy copy that makes way for a model which hardly anybody
+// asks for, because the engines with idle copies have an order under way.
+TEST(copy_planner, BusyCopyDoesNotMakeWayForARareModel) {
+  auto input = MakeInput({MakeEngine("e1", {"busy", "x", "y"}),
+                          MakeEngine("e2", {"busy", "x", "y"}),
+                          MakeEngine("e3", {"x", "y", "idle"})},
+                         {"busy", "x", "y", "idle", "rare"});
+  for (const char* model : {"busy", "x", "y"}) {
+    input.demand[model_id(model)].recent = 60;
+  }
+  input.engines[2].busy = true;
+  input.comfortable_per_copy = 10;
+  EXPECT_TRUE(PlanCopies(input).empty());
+}
+
+// Guards against an end of all planning when an engine still holds a model
+// that a new configuration no longer names.
+TEST(copy_planner, ModelOutOfTheConfigurationMakesWay) {
+  const auto orders =
+      PlanCopies(MakeInput({MakeEngine("e1", {"gone"})}, {"new"}));
+  ASSERT_EQ(orders.size(), 1U);
+  EXPECT_EQ(orders[0].kind, order_kind::kUnload);
+  EXPECT_EQ(orders[0].model, model_id("gone"));
+}
+
 }  // namespace
 }  // namespace bluebell::serving
--- a/packages/serving/tests/engine_fleet_test.cpp
+++ b/packages/serving/tests/engine_fleet_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <cmath>
 #include <map>
 
 #include "base/manual_clock.h"
@@ -113,7 +114,7 @@
       fleet_.OnEnd(
           choice.engine,
           {failed, failed ? std::optional<clock::duration>() : milliseconds(30),
-           milliseconds(200)});
+           milliseconds(200), kModel, std::nullopt});
       clock_.Advance(milliseconds(10));
     }
     return sent[endpoint_id("e1")];
@@ -133,6 +134,7 @@
     const bool slow = choice.engine == endpoint_id("e1");
     fleet_.OnSend(choice.engine);
     fleet_.OnEnd(choice.engine, {false, milliseconds(slow ? 90 : 30),
+                                 milliseconds(slow ? 90 : 30), kModel,
                                  milliseconds(slow ? 90 : 30)});
   }
   EXPECT_GT(sent[endpoint_id("e2")], 2 * sent[endpoint_id("e1")]);
@@ -163,5 +165,36 @@
   EXPECT_TRUE(fleet_.engines().empty());
 }
 
+// Guards against requests that go to a slow or failing engine because this
+// host has hardly sent there: in a large fleet another host of the zone knows.
+TEST_F(engine_fleet_test, LearnsOfOtherHostsOutcomes) {
+  fleet_.Replace({MakeRecord("e1"), MakeRecord("e2"), MakeRecord("e3")});
+  outcome_report report;
+  report.sends.push_back({endpoint_id("e1"), 6, 6});
+  for (const char* engine : {"e2", "e3"}) {
+    const double step_s = engine == std::string("e2") ? 0.24 : 0.06;
+    report.paces.push_back({endpoint_id(engine), kModel, std::log(step_s), 9});
+  }
+  std::map<endpoint_id, int> drawn;
+  for (int i = 0; i < 300; ++i) {
+    if (i % 100 == 0) fleet_.OnPeerOutcomes(report);
+    ++drawn[Choose().engine];
+  }
+  EXPECT_GT(drawn[endpoint_id("e3")], 240);
+}
+
+TEST_F(engine_fleet_test, ReportsItsOutcomesOnce) {
+  fleet_.Replace({MakeRecord("e1")});
+  fleet_.OnSend(endpoint_id("e1"));
+  fleet_.OnEnd(endpoint_id("e1"), {true, milliseconds(50), milliseconds(90),
+                                   kModel, milliseconds(60)});
+  const auto report = fleet_.TakeOutcomes();
+  ASSERT_EQ(report.sends.size(), 1U);
+  EXPECT_EQ(report.sends[0].failed, 1);
+  ASSERT_EQ(report.paces.size(), 1U);
+  EXPECT_NEAR(report.paces[0].log_seconds, std::log(0.06), 1e-9);
+  EXPECT_TRUE(fleet_.TakeOutcomes().sends.empty());
+}
+
 }  // namespace
 }  // namespace bluebell::serving
--- a/packages/serving/tests/host_directory_test.cpp
+++ b/packages/serving/tests/host_directory_test.cpp
@@ -103,8 +103,13 @@
   digest.demand.push_back({model_id("m"), adapter_id("a"), 1.5});
   digest.notices.push_back({endpoint_id("e1"), 100, model_id("m"),
                             adapter_id("a"), true, milliseconds(40)});
+  digest.outcomes.sends.push_back({endpoint_id("e1"), 7, 2});
+  digest.outcomes.paces.push_back({endpoint_id("e1"), model_id("m"), -2.5, 4});
   const auto read = DecodeDigest(EncodeDigest(digest));
   ASSERT_TRUE(read);
+  EXPECT_EQ(read->outcomes.sends.at(0).failed, 2);
+  EXPECT_EQ(read->outcomes.paces.at(0).log_seconds, -2.5);
+  EXPECT_EQ(read->outcomes.paces.at(0).count, 4);
   EXPECT_EQ(read->in_flight, digest.in_flight);
   EXPECT_EQ(read->quota_uses.at(0).spent, 1200);
   EXPECT_EQ(read->demand.at(0).requests_per_s, 1.5);
