serving, edge: copies by need, a wait for the first configuration, idle connections asked before use

Change: one copy at a time where the need is greatest, room kept while the store is at its rate; refused requests are no demand; a request waits up to 300 ms for the first configuration; quota parts every 100 ms in the first two seconds; a connection that was idle for up to 3 s is asked for the engine's report before it carries a once-only request.

--- a/packages/edge/digest_exchange.cpp
+++ b/packages/edge/digest_exchange.cpp
@@ -18,6 +18,9 @@
 constexpr milliseconds kIntervalPerHost{10};
 constexpr milliseconds kLeastInterval{200};
 constexpr milliseconds kMostInterval{900};
+// Digests of all hosts arrive within the longest interval after the start.
+constexpr milliseconds kStartSpan{2000};
+constexpr milliseconds kStartStep{100};
 // The list of hosts changes when hosts are added or replaced.
 constexpr milliseconds kListInterval{4000};
 constexpr milliseconds kListRetry{300};
@@ -135,7 +138,23 @@
       demand_.erase(silent);
       host_.log.Write("host_silent", {{"peer", silent.value()}});
     }
-    Pause(host_.io, interval, yield);
+    PauseBetweenDigests(interval, yield);
+  }
+}
+
+// A host that has just started learns of the others' use within a moment; its
+// parts of the quotas follow at once, not with its next digest.
+void digest_exchange::PauseBetweenDigests(milliseconds interval,
+                                          asio::yield_context yield) {
+  const auto until = host_.time.now() + interval;
+  while (host_.time.now() - host_.started < kStartSpan &&
+         host_.time.now() + kStartStep < until) {
+    Pause(host_.io, kStartStep, yield);
+    host_.quota.Divide();
+  }
+  const auto left = until - host_.time.now();
+  if (left > clock::duration(0)) {
+    Pause(host_.io, std::chrono::duration_cast<milliseconds>(left), yield);
   }
 }
 
--- a/packages/edge/digest_exchange.h
+++ b/packages/edge/digest_exchange.h
@@ -59,6 +59,8 @@
   serving::host_digest Partial() const;
   std::map<host_id, std::string> Targets() const;
   milliseconds Interval() const;
+  void PauseBetweenDigests(milliseconds interval,
+                           boost::asio::yield_context yield);
 
   edge_state& host_;
   store_sync& sync_;
--- a/packages/edge/engine_connections.cpp
+++ b/packages/edge/engine_connections.cpp
@@ -16,7 +16,8 @@
     idle.pop_back();
     if (now < candidate.expires && now - candidate.since <= max_idle &&
         candidate.connection->quiet()) {
-      return lease{std::move(candidate.connection), true};
+      return lease{std::move(candidate.connection), true,
+                   now - candidate.since};
     }
     // The others have been idle for longer.
     if (now - candidate.since > max_idle) break;
@@ -24,7 +25,7 @@
   auto opened =
       gateway::endpoint_connection::Connect(context_, address, timeout, yield);
   if (!opened) return tl::unexpected(opened.error());
-  return lease{std::move(*opened), false};
+  return lease{std::move(*opened), false, clock::duration(0)};
 }
 
 void engine_connections::Return(const endpoint_id& engine, lease used,
--- a/packages/edge/engine_connections.h
+++ b/packages/edge/engine_connections.h
@@ -22,6 +22,8 @@
     std::unique_ptr<gateway::endpoint_connection> connection;
     /// Carried another request before.
     bool reused = false;
+    /// Time since that request.
+    clock::duration idle{0};
   };
 
   engine_connections(boost::asio::io_context& context, const clock& source)
--- a/packages/edge/placement_runner.h
+++ b/packages/edge/placement_runner.h
@@ -48,7 +48,6 @@
   };
 
   bool WriteDuty(boost::asio::yield_context yield);
-  void Plan();
   serving::planner_input BuildInput(const serving::service& service);
   engine_work& WorkOf(const endpoint_id& id);
   const serving::engine_spec* SpecOf(const endpoint_id& id) const;
--- a/packages/edge/relayed_request.h
+++ b/packages/edge/relayed_request.h
@@ -56,6 +56,7 @@
  private:
   // Route, account and limits. Returns false if the request was refused.
   bool Admit();
+  void AwaitConfig();
   // Identifies the same request when it comes again.
   std::string Fingerprint() const;
   // An engine whose address refuses connections right after it lost a request
@@ -82,6 +83,8 @@
   // No engine was found: nothing has run, unless an earlier send may have.
   void EndUnsent(const serving::engine_choice& choice);
   send_end SendTo(const endpoint_id& id);
+  // Whether a connection that was idle for a while still exists.
+  bool IsAlive(const endpoint_id& id, engine_connections::lease& lease);
   // Sends the request on an open connection and relays the answer.
   send_end Exchange(const endpoint_id& id, engine_connections::lease& lease,
                     double usual_answer);
--- a/packages/edge/request_relay.cpp
+++ b/packages/edge/request_relay.cpp
@@ -28,6 +28,8 @@
 // Part of the connections that an engine accepts; the rest covers orders,
 // idle connections and hosts that are not heard.
 constexpr double kConnectionPart = 0.8;
+// A read of the configuration and its repetition.
+constexpr milliseconds kConfigWait{300};
 // Crashes over all hosts after which a request is refused. Requests that were
 // only in flight beside the cause are unlikely to be there three times.
 constexpr int kMostCrashes = 3;
@@ -43,6 +45,7 @@
 }
 
 bool relayed_request::Admit() {
+  AwaitConfig();
   if (config_ == nullptr) return Refuse(503, "no_configuration", kSoon);
   route_ = config_->FindRoute(caller_.host, received_.path);
   if (route_ == nullptr) return Refuse(404, "no_route", std::nullopt);
@@ -69,12 +72,13 @@
   }
   is_model_ = service != nullptr && service->engine.has_value();
   if (!is_model_) need_.model = model_id();
-  if (is_model_) host_.demand.Count(need_.model, need_.adapter);
   if (account_ != nullptr && !host_.quota.Take(account_->id, Tokens())) {
     const double seconds = host_.quota.SecondsUntil(account_->id, Tokens());
     return Refuse(429, "over_quota",
                   milliseconds(static_cast<int>(seconds * 1000)) + Spread());
   }
+  // Refused requests need no copies.
+  if (is_model_) host_.demand.Count(need_.model, need_.adapter);
   host_.retries.OnRequest(need_.service);
   fingerprint_ = Fingerprint();
   if (host_.crashes.Crashes(fingerprint_) >= kMostCrashes) {
@@ -83,6 +87,17 @@
   return true;
 }
 
+// A host that has just started reads its configuration within this time; to
+// wait serves the caller sooner than a refusal and another connection.
+void relayed_request::AwaitConfig() {
+  while (config_ == nullptr && !sink_.caller_gone()) {
+    const auto waited = host_.time.now() - begun_;
+    if (waited >= kConfigWait) return;
+    host_.changed.Wait(kConfigWait - waited, yield_);
+    config_ = host_.config;
+  }
+}
+
 std::string relayed_request::Fingerprint() const {
   std::string text =
       received_.method + ' ' + received_.path + '?' + received_.query + '\n' +
--- a/packages/edge/request_send.cpp
+++ b/packages/edge/request_send.cpp
@@ -10,11 +10,14 @@
 // A connection opens within a round trip of at most a few milliseconds; a lost
 // opening packet is sent again only after a second.
 constexpr milliseconds kConnectTimeout{250};
-// A request that must not be repeated uses only a connection that was busy
-// just before: one that the engine has dropped would lose the request.
+// A request that must not be repeated uses a connection that was busy just
+// before, or one that has answered a question first: one that the engine has
+// dropped would lose the request.
 constexpr milliseconds kHotIdle{400};
-// Repeatable requests may try connections that were idle for longer.
+// A new connection costs the engine more than a question after this time.
 constexpr milliseconds kWarmIdle{3000};
+// The question is answered within a round trip of a few milliseconds.
+constexpr milliseconds kAliveTimeout{60};
 // Life of an idle connection whose engine states none.
 constexpr milliseconds kDefaultIdle{3000};
 // An idle connection is given up this long before the engine closes it.
@@ -77,9 +80,13 @@
   sent_at_ = host_.time.now();
   if (sends_ == 1) first_sent_at_ = sent_at_;
   last_engine_ = id;
-  auto lease = host_.connections.Take(
-      id, address, repeatable ? kWarmIdle : kHotIdle,
-      std::min(kConnectTimeout, std::max(Left(), milliseconds(1))), yield_);
+  const auto timeout =
+      std::min(kConnectTimeout, std::max(Left(), milliseconds(1)));
+  auto lease = host_.connections.Take(id, address, kWarmIdle, timeout, yield_);
+  if (lease && !repeatable && lease->idle > kHotIdle && !IsAlive(id, *lease)) {
+    lease = host_.connections.Take(id, address, clock::duration(0), timeout,
+                                   yield_);
+  }
   if (!lease) {
     last_detail_ = lease.error().detail;
     host_.connections.Drop(id);
@@ -109,6 +116,19 @@
   return end;
 }
 
+// Asks the engine for its report, which needs no slot, to learn whether the
+// connection still exists.
+bool relayed_request::IsAlive(const endpoint_id& id,
+                              engine_connections::lease& lease) {
+  auto& connection = *lease.connection;
+  const auto question = host_.dialect.ReportRequest(id);
+  if (!connection.Send(question, kAliveTimeout, yield_, true)) return false;
+  const auto head = connection.ReadHead(kAliveTimeout, yield_);
+  if (!head || head->status != 200) return false;
+  return connection.ReadRest(kMostAnswerBytes, kAliveTimeout, yield_) &&
+         connection.reusable();
+}
+
 send_end relayed_request::Exchange(const endpoint_id& id,
                                    engine_connections::lease& lease,
                                    double usual_answer) {
--- a/packages/edge/store_sync.cpp
+++ b/packages/edge/store_sync.cpp
@@ -201,6 +201,7 @@
     host_.quota.SetLimit(account.id, account.tokens_per_s,
                          account.burst_tokens);
   }
+  host_.changed.Notify();
   if (host_.on_config) host_.on_config();
   host_.metrics.SetGauge("config_version",
                          static_cast<double>(host_.config->version));
--- a/packages/serving/copy_planner.cpp
+++ b/packages/serving/copy_planner.cpp
@@ -75,9 +75,23 @@
     }
   }
 
+  // Places one copy at a time where the need is greatest, so that the second
+  // copy of a rare model comes after the first ones of a busy one.
   std::vector<placement_order> Run() {
-    for (const auto& id : ByNeed()) PlaceCopies(models_.at(id));
-    return std::move(orders_);
+    std::set<model_id> unplaceable;
+    while (true) {
+      model_state* neediest = nullptr;
+      for (auto& [id, model] : models_) {
+        if (unplaceable.count(id) || IsServed(model, Spare(model))) continue;
+        if (neediest == nullptr || Need(model) > Need(*neediest)) {
+          neediest = &model;
+        }
+      }
+      if (neediest == nullptr) return std::move(orders_);
+      if (!PlaceOne(*neediest, IsServed(*neediest, 0))) {
+        unplaceable.insert(neediest->spec->id);
+      }
+    }
   }
 
  private:
@@ -88,16 +102,13 @@
     found->second.capacity += change * engine.Strength();
   }
 
-  // Models without a copy first, then by demand per copy.
-  std::vector<model_id> ByNeed() const {
-    std::vector<model_id> ids;
-    for (const auto& [id, model] : models_) {
-      if (!IsServed(model, Spare(model))) ids.push_back(id);
+  // Demand per copy. A model without a copy comes before all others if it is
+  // asked for, else after those whose copies have too much to do.
+  double Need(const model_state& model) const {
+    if (model.copies == 0 && model.demand <= kLeastDemand) {
+      return input_.comfortable_per_copy;
     }
-    std::sort(ids.begin(), ids.end(), [this](const auto& a, const auto& b) {
-      return PerCopy(models_.at(a), 0) > PerCopy(models_.at(b), 0);
-    });
-    return ids;
+    return PerCopy(model, 0);
   }
 
   // One copy beyond the demand may use room that is free anyway.
@@ -160,14 +171,9 @@
     return engine.weights_mb - used;
   }
 
-  void PlaceCopies(model_state& model) {
-    while (!IsServed(model, Spare(model))) {
-      if (!PlaceOne(model, IsServed(model, 0))) return;
-    }
-  }
-
   // Gives one order that brings the model closer to another copy: the load
-  // where there is room, else the unload of what is missed least.
+  // where there is room, else the unload of what is missed least. While the
+  // weight store's rate is used up, the place is only kept free.
   bool PlaceOne(model_state& model, bool is_spare) {
     double best_cost = 0;
     int best = -1;
@@ -177,7 +183,6 @@
       const auto& engine = input_.engines[i];
       const auto& id = model.spec->id;
       if (used_[i] || engine.busy || engine.resident.count(id)) continue;
-      const bool from_store = FromStore(engine, id);
       double cost =
           LoadSeconds(engine, *model.spec) + PlaceSeconds(model, engine);
       const double free = FreeMb(engine);
@@ -190,7 +195,6 @@
         victim_load = Missed(*victim, engine);
         cost += 1 + victim_load;
       }
-      if (from_store && store_loads_ <= 0) continue;
       if (best < 0 || cost < best_cost) {
         best = static_cast<int>(i);
         best_cost = cost;
@@ -201,10 +205,11 @@
     if (best < 0) return false;
     const auto& engine = input_.engines[best];
     const bool from_store = FromStore(engine, model.spec->id);
-    const double need = PerCopy(model, 0);
+    const double need = Need(model);
     used_[best] = true;
-    if (from_store) --store_loads_;
-    if (best_victim) {
+    if (from_store && store_loads_-- <= 0) {
+      // The place waits for the store.
+    } else if (best_victim) {
       orders_.push_back({order_kind::kUnload,
                          engine.id,
                          *best_victim,
--- a/packages/serving/tests/copy_planner_test.cpp
+++ b/packages/serving/tests/copy_planner_test.cpp
@@ -204,5 +204,34 @@
   EXPECT_EQ(orders[0].model, model_id("gone"));
 }
 
+// Load pattern: engines have crashed, so that many rare models lack a copy
+// while a busy one is short of copies. Guards against the weight store's rate
+// being spent on second copies of models that nobody asks for.
+TEST(copy_planner, BusyModelComesBeforeIdleOnes) {
+  auto input =
+      MakeInput({MakeEngine("e1", {"busy"}), MakeEngine("e2", {"rare"}),
+                 MakeEngine("e3", {}), MakeEngine("e4", {})},
+                {"busy", "rare", "idle"});
+  input.demand[model_id("busy")].recent = 200;
+  input.demand[model_id("rare")].recent = 0.5;
+  input.comfortable_per_copy = 10;
+  input.store_loads = 2;
+  const auto orders = PlanCopies(input);
+  ASSERT_EQ(orders.size(), 2U);
+  for (const auto& order : orders) EXPECT_EQ(order.model, model_id("busy"));
+}
+
+// Guards against room that was made for a busy model and is taken by another
+// one while the weight store's rate is used up.
+TEST(copy_planner, RoomIsKeptWhileTheStoreIsAtItsRate) {
+  auto input = MakeInput({MakeEngine("e1", {"busy"}), MakeEngine("e2", {})},
+                         {"busy", "idle"});
+  input.demand[model_id("busy")].recent = 200;
+  input.comfortable_per_copy = 10;
+  input.store_loads = 0;
+  input.engines[1].on_disk.insert(model_id("idle"));
+  EXPECT_TRUE(PlanCopies(input).empty());
+}
+
 }  // namespace
 }  // namespace bluebell::serving
