edge: a log line when an engine turns slow or failing, and when it recovers

Change: engine_fleet tells changes of its verdict, with different thresholds for the way back; the host asks once a second and writes engine_judged. The share of failures is computed in one place. Measured: serving 80 tests (the new one failed to build before).

--- a/packages/edge/edge_host.cpp
+++ b/packages/edge/edge_host.cpp
@@ -1,5 +1,7 @@
 #include "edge/edge_host.h"
 
+#include <fmt/format.h>
+
 #include <random>
 
 #include "edge/digest_exchange.h"
@@ -23,6 +25,8 @@
 // The process ends this long before the platform would end it.
 constexpr milliseconds kStopMargin{700};
 constexpr milliseconds kStopStep{50};
+// Bounds the log lines on engines to one a second and engine.
+constexpr milliseconds kVerdictInterval{1000};
 
 http_server::refuse RefuseUnreadable(const request_dialect& dialect) {
   return [&dialect](problem_code code, const std::string&) {
@@ -48,6 +52,20 @@
   return std::to_string(source()) + "-" + std::to_string(source());
 }
 
+// Tells of engines that turn slow or start to fail, and of their recovery.
+void LogVerdicts(edge_state& state, boost::asio::yield_context yield) {
+  while (true) {
+    Pause(state.io, kVerdictInterval, yield);
+    for (const auto& change : state.fleet.TakeVerdictChanges()) {
+      state.log.Write("engine_judged",
+                      {{"engine", change.engine.value()},
+                       {"verdict", serving::ToString(change.verdict)},
+                       {"pace", fmt::format("{:.2f}", change.pace)},
+                       {"failing", fmt::format("{:.2f}", change.failing)}});
+    }
+  }
+}
+
 }  // namespace
 
 struct edge_host::parts {
@@ -150,6 +168,7 @@
   gateway::SpawnTask(context, [all](auto y) { all->placement->RunDuty(y); });
   gateway::SpawnTask(context,
                      [all](auto y) { all->placement->RunPlanning(y); });
+  gateway::SpawnTask(context, [all](auto y) { LogVerdicts(all->state, y); });
   all->state.log.Write("host_started", {{"incarnation", all->state.incarnation},
                                         {"zone", settings.zone.value()},
                                         {"callers", settings.callers_listen}});
--- a/packages/serving/engine_fleet.cpp
+++ b/packages/serving/engine_fleet.cpp
@@ -6,9 +6,9 @@
 namespace bluebell::serving {
 namespace {
 
-// Start values of the averages: the work of a plain request and the first
-// token of a short prompt take tens of milliseconds.
-constexpr double kStartAnswerSeconds = 0.03;
+// The work of a plain request and the first token of a short prompt take tens
+// of milliseconds at a typical engine.
+constexpr double kTypicalAnswerSeconds = 0.03;
 constexpr double kStartHeldSeconds = 0.2;
 // Weight of the newest sample in the averages.
 constexpr double kSampleWeight = 0.1;
@@ -20,6 +20,13 @@
 constexpr double kForgiveSeconds = 2.0;
 // Seconds that a certain failure is worth in comparison with a late answer.
 constexpr double kFailureSeconds = 1.0;
+// Pace and share of failures from which an engine is reported as slow or
+// failing, and below which it is usual again. A third of the engines is twice
+// as slow as the rest at all times, which is no news.
+constexpr double kSlowPace = 2.5;
+constexpr double kFailingShare = 0.5;
+constexpr double kUsualPace = 2;
+constexpr double kUsualShare = 0.2;
 // One way to another zone and back.
 constexpr double kOtherZoneSeconds = 0.004;
 // An engine is drawn with a probability that falls with this power of its
@@ -37,6 +44,18 @@
 
 }  // namespace
 
+const char* ToString(engine_verdict verdict) {
+  switch (verdict) {
+    case engine_verdict::kUsual:
+      return "usual";
+    case engine_verdict::kSlow:
+      return "slow";
+    case engine_verdict::kFailing:
+      return "failing";
+  }
+  return "";
+}
+
 int engine_fleet::state::InFlight() const {
   int total = own_in_flight;
   for (const auto& [host, count] : others_in_flight) total += count;
@@ -102,7 +121,7 @@
       const int own_in_flight = engine.own_in_flight;
       engine = {};
       engine.own_in_flight = own_in_flight;
-      engine.answer_s = kStartAnswerSeconds;
+      engine.answer_s = kTypicalAnswerSeconds;
       engine.held_s = kStartHeldSeconds;
       misdirected_.erase(record.id);
     }
@@ -175,11 +194,9 @@
   const double taken =
       static_cast<double>(engine.InFlight()) / std::max(1, engine.record.slots);
   double cost =
-      kStartAnswerSeconds * pace_.Of(engine.record.id) * (0.5 + taken) +
+      kTypicalAnswerSeconds * pace_.Of(engine.record.id) * (0.5 + taken) +
       WaitSeconds(engine);
-  const double age = Seconds(clock_.now() - engine.failed_at);
-  cost += kFailureSeconds * engine.failing *
-          std::exp2(-std::max(0.0, age) / kForgiveSeconds);
+  cost += kFailureSeconds * Failing(engine);
   if (engine.record.zone != own_zone_) cost += kOtherZoneSeconds;
   return cost;
 }
@@ -262,16 +279,39 @@
   }
 }
 
+double engine_fleet::Failing(const state& engine) const {
+  const double age = std::max(0.0, Seconds(clock_.now() - engine.failed_at));
+  return engine.failing * std::exp2(-age / kForgiveSeconds);
+}
+
+std::vector<verdict_change> engine_fleet::TakeVerdictChanges() {
+  std::vector<verdict_change> changes;
+  for (auto& [id, engine] : engines_) {
+    const double pace = pace_.Of(id);
+    const double failing = Failing(engine);
+    auto verdict = engine.verdict;
+    if (failing > kFailingShare) {
+      verdict = engine_verdict::kFailing;
+    } else if (pace > kSlowPace) {
+      verdict = engine_verdict::kSlow;
+    } else if (failing < kUsualShare && pace < kUsualPace) {
+      verdict = engine_verdict::kUsual;
+    }
+    if (verdict == engine.verdict) continue;
+    engine.verdict = verdict;
+    changes.push_back({id, verdict, pace, failing});
+  }
+  return changes;
+}
+
 // Moves the share of failures by `ended` outcomes at once.
 void engine_fleet::CountOutcomes(state& engine, int ended, int failed) {
   if (ended <= 0) return;
-  const auto now = clock_.now();
-  const double age = std::max(0.0, Seconds(now - engine.failed_at));
-  const double before = engine.failing * std::exp2(-age / kForgiveSeconds);
+  const double before = Failing(engine);
   const double weight = 1 - std::pow(1 - kOutcomeWeight, ended);
   const double share = static_cast<double>(failed) / ended;
   engine.failing = before + weight * (share - before);
-  engine.failed_at = now;
+  engine.failed_at = clock_.now();
 }
 
 void engine_fleet::OnPeerOutcomes(const outcome_report& report) {
--- a/packages/serving/engine_fleet.h
+++ b/packages/serving/engine_fleet.h
@@ -61,6 +61,21 @@
   int failed = 0;
 };
 
+/// What a host thinks of an engine by the outcomes it knows.
+enum class engine_verdict { kUsual, kSlow, kFailing };
+
+const char* ToString(engine_verdict verdict);
+
+/// The verdict on an engine has changed.
+struct verdict_change {
+  endpoint_id engine;
+  engine_verdict verdict = engine_verdict::kUsual;
+  /// Time of a step as a multiple of a typical engine's.
+  double pace = 1;
+  /// Recent share of failed sends, 0 to 1.
+  double failing = 0;
+};
+
 /// Outcomes of one host's sends since its report before.
 struct outcome_report {
   std::vector<send_count> sends;
@@ -122,6 +137,7 @@
     /// Recent share of failed sends, 0 to 1.
     double failing = 0;
     clock::time_point failed_at;
+    engine_verdict verdict = engine_verdict::kUsual;
 
     int InFlight() const;
     bool HasModel(const model_id& model, clock::time_point now) const;
@@ -153,6 +169,8 @@
   void OnPeerOutcomes(const outcome_report& report);
   /// Own outcomes since the last call.
   outcome_report TakeOutcomes();
+  /// Engines on which the verdict has changed since the last call.
+  std::vector<verdict_change> TakeVerdictChanges();
 
   /// Draws an engine; the less time to the first answer it is expected to
   /// take, the more often.
@@ -174,6 +192,8 @@
   // Expected wait for a free slot, seconds.
   double WaitSeconds(const state& engine) const;
   double Cost(const state& engine) const;
+  // Share of failed sends, forgotten with time.
+  double Failing(const state& engine) const;
   void CountOutcomes(state& engine, int ended, int failed);
 
   const clock& clock_;
--- a/packages/serving/tests/engine_fleet_test.cpp
+++ b/packages/serving/tests/engine_fleet_test.cpp
@@ -196,5 +196,24 @@
   EXPECT_TRUE(fleet_.TakeOutcomes().sends.empty());
 }
 
+// Guards against a failing engine that no log line names, and against a line
+// for every request to it.
+TEST_F(engine_fleet_test, TellsOnceOfAFailingEngineAndOfItsRecovery) {
+  fleet_.Replace({MakeRecord("e1"), MakeRecord("e2")});
+  EXPECT_TRUE(fleet_.TakeVerdictChanges().empty());
+  outcome_report report;
+  report.sends.push_back({endpoint_id("e1"), 6, 6});
+  fleet_.OnPeerOutcomes(report);
+  auto changes = fleet_.TakeVerdictChanges();
+  ASSERT_EQ(changes.size(), 1U);
+  EXPECT_EQ(changes[0].engine, endpoint_id("e1"));
+  EXPECT_EQ(changes[0].verdict, engine_verdict::kFailing);
+  EXPECT_TRUE(fleet_.TakeVerdictChanges().empty());
+  clock_.Advance(seconds(20));
+  changes = fleet_.TakeVerdictChanges();
+  ASSERT_EQ(changes.size(), 1U);
+  EXPECT_EQ(changes[0].verdict, engine_verdict::kUsual);
+}
+
 }  // namespace
 }  // namespace bluebell::serving
