--- a/packages/edge/request_send.cpp
+++ b/packages/edge/request_send.cpp
@@ -11,10 +11,11 @@
 // opening packet is sent again only after a second.
 constexpr milliseconds kConnectTimeout{250};
 // A request that must not be repeated uses a connection that was busy just
-// before, or one that has answered a question first: one that the engine has
-// dropped would lose the request.
+// before, or one to a model engine that has answered a question first: one that
+// the engine has dropped would lose the request.
 constexpr milliseconds kHotIdle{400};
-// A new connection costs the engine more than a question after this time.
+// Other connections may have been idle for longer; a new one costs the engine
+// more than a question.
 constexpr milliseconds kWarmIdle{3000};
 // The question is answered within a round trip of a few milliseconds.
 constexpr milliseconds kAliveTimeout{60};
@@ -82,7 +83,10 @@
   last_engine_ = id;
   const auto timeout =
       std::min(kConnectTimeout, std::max(Left(), milliseconds(1)));
-  auto lease = host_.connections.Take(id, address, kWarmIdle, timeout, yield_);
+  // Plain endpoints do not answer the question.
+  auto lease = host_.connections.Take(
+      id, address, repeatable || is_model_ ? kWarmIdle : kHotIdle, timeout,
+      yield_);
   if (lease && !repeatable && lease->idle > kHotIdle && !IsAlive(id, *lease)) {
     lease = host_.connections.Take(id, address, clock::duration(0), timeout,
                                    yield_);
