serving: room is made for a model at one engine, not at one more in each plan

An engine at which an unload ran did not count as a copy of the model it made room for, so each plan chose another engine. 1.7 % of the requests of seconds 15 to 35 ended model_not_loaded, of those with an adapter 5.6 %. Change: an unload names the model that gets the room; until it ends, the engine counts as that model's copy.

--- a/packages/edge/placement_runner.cpp
+++ b/packages/edge/placement_runner.cpp
@@ -253,6 +253,8 @@
     if (order.kind == order_kind::kLoad) {
       WorkOf(order.engine).loading = order.model;
     } else {
+      // Else the next plan would make room for it at another engine as well.
+      WorkOf(order.engine).loading = order.makes_room_for;
       Publish(order.engine, order.model, {}, false);
     }
     AwaitEnd(order, expected_s, yield);
--- a/packages/serving/copy_planner.cpp
+++ b/packages/serving/copy_planner.cpp
@@ -216,7 +216,8 @@
                          {},
                          false,
                          need,
-                         best_victim_load});
+                         best_victim_load,
+                         model.spec->id});
       AddCopy(*best_victim, -1, engine);
     } else {
       orders_.push_back({order_kind::kLoad,
--- a/packages/serving/copy_planner.h
+++ b/packages/serving/copy_planner.h
@@ -24,6 +24,8 @@
   /// models that make way: the gain that the order expects.
   double demand_per_copy = 0;
   double displaced_per_copy = 0;
+  /// For the unload of a model: the model that gets its room.
+  std::optional<model_id> makes_room_for = std::nullopt;
 };
 
 /// An engine as the planner sees it.
@@ -35,7 +37,8 @@
   std::set<model_id> on_disk;
   /// An order is under way, so the engine takes no other.
   bool busy = false;
-  /// The model that is being loaded; counts as a copy and as memory.
+  /// The model that is being loaded, or for which room is being made; counts
+  /// as a copy.
   std::optional<model_id> loading;
   /// Time that a step takes, as a multiple of a typical engine's.
   double pace = 1;
--- a/packages/serving/tests/copy_planner_test.cpp
+++ b/packages/serving/tests/copy_planner_test.cpp
@@ -177,6 +177,9 @@
   ASSERT_FALSE(orders.empty());
   EXPECT_NE(orders[0].engine, endpoint_id("e0"));
   EXPECT_NE(orders[0].model, model_id("two"));
+  // The caller counts the engine as a copy of this model from now on, so that
+  // room is not made at several engines.
+  EXPECT_EQ(orders[0].makes_room_for, model_id("new"));
 }
 
 // Guards against a busy copy that makes way for a model which hardly anybody
