--- a/soak/soak.py
+++ b/soak/soak.py
@@ -21,6 +21,7 @@
 import os
 import random
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -261,6 +262,10 @@
             self.writers.discard(writer)
 
 
+# Every host process that was started.
+LAUNCHED = []
+
+
 class Host:
     """One bluebellraild process with its own way to the store."""
 
@@ -305,6 +310,7 @@
         self.process = subprocess.Popen(
             [PROGRAM, "--hosted", "--config", self.ini], stdout=log,
             stderr=log)
+        LAUNCHED.append(self.process)
         self.frozen = False
 
     def send(self, number):
@@ -523,7 +529,36 @@
             host.process.wait()
 
 
+def end_at_once(number, _):
+    """Ends the hosts too, which otherwise outlive a soak ended by a signal."""
+    for process in LAUNCHED:
+        if process.poll() is None:
+            process.kill()
+    os._exit(128 + number)
+
+
+def free_block(base):
+    """The first block of ports for all hosts that nobody listens on, so that
+    soaks that run side by side do not take each other's."""
+    step = 5 * HOSTS
+    for start in range(base, base + 100 * step, step):
+        sockets = []
+        try:
+            for port in range(start, start + step):
+                for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                    sockets.append(socket.socket(socket.AF_INET, kind))
+                    sockets[-1].bind(("127.0.0.1", port))
+            return start
+        except OSError:
+            continue
+        finally:
+            for opened in sockets:
+                opened.close()
+    raise SystemExit(f"no free ports from {base} on")
+
+
 def main():
+    signal.signal(signal.SIGTERM, end_at_once)
     parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=1)
@@ -536,7 +571,8 @@
         folder = tempfile.mkdtemp(prefix=f"soak-{seed}-", dir=options.keep)
         soak = Soak(seed, options.seconds, folder)
         try:
-            asyncio.run(soak.run(options.port + seed % 50 * 5 * HOSTS))
+            base = options.port + seed % 50 * 5 * HOSTS
+            asyncio.run(soak.run(free_block(base)))
         finally:
             for host in getattr(soak, "hosts", []):
                 if host.process and host.process.poll() is None:
