edge: bounds of the platform may have fractions

Seconds were turned into milliseconds by appending three zeros in the template, which reads 7.5 as 7.5 ms, and the retry ratio was a constant of the template.

Change: bounds are decimals in the unit in which the platform states them and are converted when they are loaded; the retry ratio comes from the platform. Ruled out: rounding in the template, which has no arithmetic.

--- a/packages/edge/edge_settings.cpp
+++ b/packages/edge/edge_settings.cpp
@@ -1,12 +1,16 @@
 #include "edge/edge_settings.h"
 
+#include <cmath>
+
 namespace bluebell::edge {
 namespace {
 
 constexpr std::int64_t kMaxMilliseconds = 600'000;
+constexpr std::int64_t kMillisecondsPerSecond = 1000;
 constexpr std::int64_t kMaxCores = 1024;
+constexpr std::int64_t kMaxRetryRatio = 100;
 constexpr double kMillicoresPerCore = 1000;
-constexpr std::int64_t kMaxInteger = 1'000'000;
+constexpr std::int64_t kMaxSlack = 1'000'000;
 
 setting_rule Rule(std::string section, std::string key, setting_type type,
                   std::string default_value = {}) {
@@ -36,16 +40,26 @@
   return rule;
 }
 
-setting_rule Decimal(std::string section, std::string key) {
+setting_rule Decimal(std::string section, std::string key,
+                     std::int64_t maximum) {
   auto rule = Rule(std::move(section), std::move(key), setting_type::kDecimal);
-  rule.maximum = kMaxCores;
+  rule.maximum = maximum;
   return rule;
 }
 
-setting_rule Integer(std::string section, std::string key) {
-  auto rule = Rule(std::move(section), std::move(key), setting_type::kInteger);
-  rule.maximum = kMaxInteger;
-  return rule;
+// Durations that the platform states, with or without a fraction.
+setting_rule DecimalMilliseconds(std::string section, std::string key) {
+  return Decimal(std::move(section), std::move(key), kMaxMilliseconds);
+}
+
+setting_rule DecimalSeconds(std::string section, std::string key) {
+  return Decimal(std::move(section), std::move(key),
+                 kMaxMilliseconds / kMillisecondsPerSecond);
+}
+
+// Rounded down: most durations here are upper limits.
+milliseconds ToWholeMilliseconds(double value) {
+  return milliseconds(static_cast<std::int64_t>(std::floor(value)));
 }
 
 }  // namespace
@@ -54,7 +68,7 @@
   static const std::vector<setting_rule> kRules = {
       Text("host", "id"),
       Text("host", "zone"),
-      Decimal("host", "cores"),
+      Decimal("host", "cores", kMaxCores),
       Address("listen", "callers"),
       Address("listen", "ready"),
       Address("listen", "directory"),
@@ -63,12 +77,12 @@
       Address("store", "address"),
       // A call takes milliseconds; two timeouts still fit into the bounds.
       Milliseconds("store", "timeout_ms", "700"),
-      Milliseconds("bounds", "key_withdrawal_ms"),
-      Milliseconds("bounds", "stop_grace_ms"),
-      Milliseconds("bounds", "placement_pause_ms"),
-      Milliseconds("bounds", "retry_window_ms"),
-      Integer("bounds", "retry_percent"),
-      Integer("bounds", "retry_slack"),
+      DecimalMilliseconds("bounds", "key_withdrawal_ms"),
+      DecimalSeconds("bounds", "stop_grace_s"),
+      DecimalMilliseconds("bounds", "placement_pause_ms"),
+      DecimalSeconds("bounds", "retry_window_s"),
+      Decimal("bounds", "retry_ratio", kMaxRetryRatio),
+      Decimal("bounds", "retry_slack", kMaxSlack),
       // Short enough that callers leave a stopping host within its grace time
       // even if they cache an answer for three times its lifetime.
       Milliseconds("directory", "lifetime_ms", "1500"),
@@ -100,14 +114,17 @@
   loaded.digest_listen = read->Text("listen", "digests");
   loaded.store_address = read->Text("store", "address");
   loaded.store_timeout = read->Milliseconds("store", "timeout_ms");
-  loaded.key_withdrawal = read->Milliseconds("bounds", "key_withdrawal_ms");
-  loaded.stop_grace = read->Milliseconds("bounds", "stop_grace_ms");
-  loaded.placement_pause = read->Milliseconds("bounds", "placement_pause_ms");
-  loaded.retries.window = read->Milliseconds("bounds", "retry_window_ms");
-  loaded.retries.ratio =
-      static_cast<double>(read->Integer("bounds", "retry_percent")) / 100;
-  loaded.retries.slack =
-      static_cast<double>(read->Integer("bounds", "retry_slack"));
+  loaded.key_withdrawal =
+      ToWholeMilliseconds(read->Decimal("bounds", "key_withdrawal_ms"));
+  loaded.stop_grace = ToWholeMilliseconds(
+      read->Decimal("bounds", "stop_grace_s") * kMillisecondsPerSecond);
+  // A lower limit, so it is rounded up.
+  loaded.placement_pause = ToWholeMilliseconds(
+      std::ceil(read->Decimal("bounds", "placement_pause_ms")));
+  loaded.retries.window = ToWholeMilliseconds(
+      read->Decimal("bounds", "retry_window_s") * kMillisecondsPerSecond);
+  loaded.retries.ratio = read->Decimal("bounds", "retry_ratio");
+  loaded.retries.slack = read->Decimal("bounds", "retry_slack");
   loaded.directory_lifetime = read->Milliseconds("directory", "lifetime_ms");
   loaded.log_level = read->Text("log", "level");
   return loaded;
--- /dev/null
+++ b/packages/edge/tests/edge_settings_test.cpp
@@ -0,0 +1,76 @@
+#include "edge/edge_settings.h"
+
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <fstream>
+
+namespace bluebell::edge {
+namespace {
+
+// Settings as the platform fills them in; `bounds` replaces that section.
+tl::expected<edge_settings, std::vector<setting_error>> LoadWithBounds(
+    const std::string& bounds) {
+  const std::string path = testing::TempDir() + "edge_settings_test.ini";
+  std::ofstream(path) << "[host]\nid = a\nzone = z\ncores = 0.09\n"
+                         "[listen]\ncallers = 10.0.0.1:1\nready = 10.0.0.1:2\n"
+                         "directory = 10.0.0.1:3\nmetrics = 10.0.0.1:4\n"
+                         "digests = 10.0.0.1:4\n"
+                         "[store]\naddress = 10.0.0.2:5\n[bounds]\n"
+                      << bounds;
+  auto loaded = edge_settings::Load(path);
+  std::remove(path.c_str());
+  return loaded;
+}
+
+std::string Bounds(const std::string& withdrawal_ms, const std::string& grace_s,
+                   const std::string& pause_ms, const std::string& window_s,
+                   const std::string& ratio, const std::string& slack) {
+  return "key_withdrawal_ms = " + withdrawal_ms +
+         "\nstop_grace_s = " + grace_s + "\nplacement_pause_ms = " + pause_ms +
+         "\nretry_window_s = " + window_s + "\nretry_ratio = " + ratio +
+         "\nretry_slack = " + slack + "\n";
+}
+
+// Guards against a start that fails, or reads another number, because the
+// platform states a bound with a fraction.
+TEST(edge_settings_test, BoundsMayHaveFractions) {
+  struct {
+    std::string bounds;
+    milliseconds withdrawal, grace, pause, window;
+    double ratio, slack;
+  } const cases[] = {
+      {Bounds("5000", "8", "3000", "10", "0.2", "56"), milliseconds(5000),
+       milliseconds(8000), milliseconds(3000), milliseconds(10000), 0.2, 56},
+      {Bounds("5000.0", "8.0", "3000.0", "10.0", "0", "33.1578947368421"),
+       milliseconds(5000), milliseconds(8000), milliseconds(3000),
+       milliseconds(10000), 0, 33.1578947368421},
+      {Bounds("4999.9", "7.5", "2999.1", "0.25", "1", "0"), milliseconds(4999),
+       milliseconds(7500), milliseconds(3000), milliseconds(250), 1, 0},
+      {Bounds("5e3", "8e0", "3e3", "1e1", "2e-1", "5.6e1"), milliseconds(5000),
+       milliseconds(8000), milliseconds(3000), milliseconds(10000), 0.2, 56},
+  };
+  for (const auto& expected : cases) {
+    const auto loaded = LoadWithBounds(expected.bounds);
+    ASSERT_TRUE(loaded) << ToString(loaded.error().front());
+    EXPECT_EQ(loaded->key_withdrawal, expected.withdrawal);
+    EXPECT_EQ(loaded->stop_grace, expected.grace);
+    EXPECT_EQ(loaded->placement_pause, expected.pause);
+    EXPECT_EQ(loaded->retries.window, expected.window);
+    EXPECT_DOUBLE_EQ(loaded->retries.ratio, expected.ratio);
+    EXPECT_DOUBLE_EQ(loaded->retries.slack, expected.slack);
+  }
+}
+
+TEST(edge_settings_test, BoundsThatAreNoNumberAreReported) {
+  for (const char* value : {"", "true", "-1", "nan", "1e9", "5 s"}) {
+    const auto loaded =
+        LoadWithBounds(Bounds(value, "8", "3000", "10", "0.2", "56"));
+    ASSERT_FALSE(loaded) << value;
+    ASSERT_EQ(loaded.error().size(), 1U) << value;
+    EXPECT_EQ(loaded.error().front().key, "key_withdrawal_ms") << value;
+  }
+}
+
+}  // namespace
+}  // namespace bluebell::edge
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -296,11 +296,11 @@
 address = 127.0.0.1:{self.store.port}
 [bounds]
 key_withdrawal_ms = {int(REVOKE_S * 1000)}
-stop_grace_ms = {GRACE_S * 1000}
+stop_grace_s = {GRACE_S}
 placement_pause_ms = 3000
-retry_window_ms = 10000
+retry_window_s = 10
 retry_slack = 50
-retry_percent = 20
+retry_ratio = 0.2
 """)
         self.launch()
 
