serving: a model that is asked for takes the place of an idle last copy

Change: the last copy of an idle model may go if the wanted one has no copy or is overloaded three times over; an unused model takes a copy only from models that keep three. Seen failing before: RequestedModelTakesThePlaceOfAnIdleLastCopy, OverloadedModelTakesThePlaceOfAnIdleLastCopy. Ruled out: letting any busy model displace last copies; every burst would empty the engines of rare models.

--- a/packages/serving/copy_planner.cpp
+++ b/packages/serving/copy_planner.cpp
@@ -16,6 +16,19 @@
 constexpr double kMinSwapRatio = 2.0;
 // Copies of an unused model.
 constexpr int kMinCopies = 2;
+// Copies that a model keeps when an unused model without a copy is placed:
+// before traffic starts, the number of copies is all that shows which models
+// are busy.
+constexpr int kCopiesKeptForUnused = 3;
+// Requests per second below which a model counts as idle; its last copy may
+// then be evicted for a model that cannot be served otherwise.
+constexpr double kIdleDemand = 0.02;
+// Load of a model's copies, as a multiple of the target rate, from which on it
+// may displace the last copies of idle models.
+constexpr double kOverloadRatio = 3;
+// Penalty in seconds of load time for evicting a last copy; above that of any
+// other idle copy.
+constexpr double kLastCopyPenaltySeconds = 60;
 // Prompts and pauses delay the requests queued behind them, so the load that an
 // engine serves without queueing falls faster than its speed.
 constexpr double kCapacityExponent = 1.5;
@@ -241,6 +254,31 @@
     return true;
   }
 
+  // Whether the model cannot be served, or only with long queues, without one
+  // more copy.
+  bool NeedsCopyAtOnce(const model_state& model) const {
+    return model.demand > kIdleDemand &&
+           DemandPerCapacity(model, 0) >
+               kOverloadRatio * input_.target_rate_per_copy;
+  }
+
+  // Whether a copy of `model` may be evicted for `wanted`, as far as the number
+  // of its copies decides.
+  bool HasCopyToSpare(const model_state& model,
+                      const model_state& wanted) const {
+    if (model.copies < 2) {
+      return model.demand <= kIdleDemand && NeedsCopyAtOnce(wanted);
+    }
+    if (wanted.demand <= kMinDemand) {
+      return model.copies > kCopiesKeptForUnused;
+    }
+    const bool urgent =
+        DemandPerCapacity(wanted, 0) > input_.target_rate_per_copy ||
+        (wanted.capacity < 1 - kRoundingTolerance &&
+         wanted.demand > kBusyDemand);
+    return model.copies > kMinCopies || urgent;
+  }
+
   // Penalty for evicting the copy of `id` from `engine`: requests per second
   // and remaining copy, plus a term that grows as fewer copies remain. 0 for a
   // model that was removed from the configuration.
@@ -249,6 +287,7 @@
     const auto found = models_.find(id);
     if (found == models_.end()) return 0;
     const auto& model = found->second;
+    if (model.copies < 2) return kLastCopyPenaltySeconds + model.demand;
     return DemandPerCapacity(model, -engine.RelativeCapacity()) +
            kFewCopiesPenaltySeconds / std::max(1, model.copies - 1);
   }
@@ -265,14 +304,11 @@
       const auto found = models_.find(id);
       if (found == models_.end()) return id;
       const auto& model = found->second;
-      const bool urgent =
-          DemandPerCapacity(wanted, 0) > input_.target_rate_per_copy ||
-          (wanted.capacity < 1 - kRoundingTolerance &&
-           wanted.demand > kBusyDemand);
-      if (model.copies < 2 || (model.copies <= kMinCopies && !urgent)) {
-        continue;
-      }
-      const double load = DemandPerCapacity(model, -engine.RelativeCapacity());
+      if (!HasCopyToSpare(model, wanted)) continue;
+      const double load =
+          model.copies < 2
+              ? model.demand
+              : DemandPerCapacity(model, -engine.RelativeCapacity());
       // A model without a copy must not displace a busy one.
       const double wanted_demand =
           wanted.copies > 0
--- a/packages/serving/copy_planner.h
+++ b/packages/serving/copy_planner.h
@@ -76,14 +76,16 @@
 /// Every model gets two copies where memory allows, so that it stays available
 /// on a sudden request or after an engine crash. Further copies follow the
 /// demand of the last seconds and the number of adapters in use. The copy with
-/// the lowest eviction penalty is evicted, never the last one of a model. A
-/// copy at a slow engine counts as a fraction, so that busy models are placed
-/// at fast engines. Loads from an engine's own memory or disk are preferred to
-/// loads from the weight store.
+/// the lowest eviction penalty is evicted. The last copy of a model is evicted
+/// only if the model is idle and another one is asked for that has no copy or
+/// is overloaded several times over. A copy at a slow engine counts as a
+/// fraction, so that busy models are placed at fast engines. Loads from an
+/// engine's own memory or disk are preferred to loads from the weight store.
 ///
 /// Workload: a few models receive most requests, the set of these changes
 /// every ten seconds, a third of the engines is slow, engines crash and
-/// restart empty, and rarely used models are requested without warning.
+/// restart empty, and rarely used models are requested without warning. There
+/// may be more models than places for copies.
 std::vector<placement_order> PlanCopies(const planner_input& input);
 
 }  // namespace bluebell::serving
