serving, edge: active hosts per zone instead of digests between all pairs

Cause: every host sent its digest to every other; at 295 hosts that is about 330 digests sent and received a second by each, and quotas, retry budgets and connection limits were divided by 295 though a few dozen hosts can carry the load. Every host listed the hosts in the store each 4 s.

Change: in each zone the strongest live hosts (at least 12 and 4 cores) are active and listed for callers, the others stand by. Hosts that are active or in use exchange digests with each other and with the standby hosts of their zone; standby hosts only with the engaged hosts of their zone. The store readers and the lease holder send to all. Roles are decided by each host from what it hears; the store's list replaces it for 3 s after a start. A host that joins the exchange takes quota levels from reports as after a start. The list is read each 30 s, and a host that is listed already is not written again.

Ruled out: aggregation by zone leaders (every reader of host digests would need a second form, and a frozen leader hides a zone); gossip (ages of quota reports grow with the rounds).

--- a/packages/edge/deployment_store.h
+++ b/packages/edge/deployment_store.h
@@ -7,19 +7,13 @@
 #include <vector>
 
 #include "base/result.h"
+#include "serving/active_hosts.h"
 #include "serving/engine_record.h"
 #include "serving/placement_lease.h"
 #include "serving/serving_config.h"
 
 namespace bluebell::edge {
 
-/// Address at which a host receives digests.
-struct host_entry {
-  host_id host;
-  /// `IPv4:port`.
-  std::string digest_address;
-};
-
 /// Persistent store shared by the hosts: the operator's configuration, the
 /// endpoint records, the placement lease and the list of hosts.
 ///
@@ -47,11 +41,11 @@
       const serving::lease_record& wanted,
       boost::asio::yield_context yield) = 0;
 
-  virtual result<void> WriteHost(const host_entry& entry,
+  virtual result<void> WriteHost(const serving::host_entry& entry,
                                  boost::asio::yield_context yield) = 0;
   virtual result<void> RemoveHost(const host_id& host,
                                   boost::asio::yield_context yield) = 0;
-  virtual result<std::vector<host_entry>> ListHosts(
+  virtual result<std::vector<serving::host_entry>> ListHosts(
       boost::asio::yield_context yield) = 0;
 };
 
--- a/packages/edge/digest_exchange.cpp
+++ b/packages/edge/digest_exchange.cpp
@@ -21,17 +21,32 @@
 // Digests of all hosts arrive within the longest interval after startup.
 constexpr milliseconds kStartupPeriod{2000};
 constexpr milliseconds kStartupQuotaInterval{100};
-// The list of hosts changes only when hosts are added or replaced.
-constexpr milliseconds kListInterval{4000};
+// The list of hosts changes only when hosts are added or replaced, and a new
+// host makes itself known by its digests.
+constexpr milliseconds kListInterval{30000};
 constexpr milliseconds kListRetry{300};
+// Entries of hosts that start at the same time appear within this time, also in
+// a read that may be seconds old.
+constexpr milliseconds kListSettling{4000};
+// A change of role is sent this many times, since a datagram may be lost.
+constexpr int kRoleBroadcasts = 2;
+// Engaged hosts make themselves known to every host in this interval, drawn
+// anew each time so that the hosts do not send at the same moment.
+constexpr int kMinBroadcastMilliseconds = 4000;
+constexpr int kMaxBroadcastMilliseconds = 6000;
+// Hosts of the ranking that do work for the fleet: the store readers and the
+// one that would replace a lost one.
+constexpr int kFleetWorkers = 4;
+// A standby host with at least this rate of requests per second counts as in
+// use for a while.
+constexpr double kInUseRate = 1;
+constexpr milliseconds kInUsePeriod{3000};
 // Message type: the first byte of a datagram.
 constexpr char kDigestTag = 'D';
 constexpr char kSyncRequestTag = 'Q';
 constexpr char kSyncResponseTag = 'A';
 // A lost adapter request is sent again by the requests waiting for the adapter.
 constexpr milliseconds kAdapterRequestInterval{80};
-// A host that was silent for this long gets digests only if the store lists it.
-constexpr std::chrono::seconds kPeerExpiry{10};
 
 }  // namespace
 
@@ -118,8 +133,17 @@
   }
   host_.fleet.OnPeerLoad(digest->host, digest->in_flight);
   host_.fleet.OnPeerOutcomes(digest->outcomes);
-  host_.quota.OnReport(digest->host, digest->incarnation,
-                       milliseconds(digest->uptime_ms), digest->quota_usages);
+  // A standby host hears the engaged hosts of other zones too rarely to take
+  // their reports for current.
+  if (digest->engaged && (host_.directory.engaged() ||
+                          host_.directory.IsInOwnZone(digest->host))) {
+    host_.quota.OnReport(
+        digest->host,
+        digest->incarnation + "/" + std::to_string(digest->quota_epoch),
+        milliseconds(digest->quota_age_ms), digest->quota_usages);
+  } else {
+    host_.quota.OnStopped(digest->host);
+  }
   for (const auto& [fingerprint, crashes] : digest->crashes) {
     host_.crashes.OnNotice(digest->host, fingerprint, crashes);
   }
@@ -132,8 +156,9 @@
 void digest_exchange::RunSend(asio::yield_context yield) {
   while (true) {
     const auto interval = Interval();
+    UpdateRole();
     host_.quota.UpdateShares();
-    SendDigests();
+    SendDigests(IsBroadcastDue());
     host_.connections.CloseExpired();
     adapter_requests_sent_.clear();
     for (const auto& silent : host_.directory.TakeSilentHosts()) {
@@ -145,6 +170,45 @@
   }
 }
 
+void digest_exchange::UpdateRole() {
+  const auto now = host_.time.now();
+  const double elapsed_s =
+      std::chrono::duration<double>(now - requests_counted_at_).count();
+  const auto received = host_.requests_received - requests_counted_;
+  requests_counted_ = host_.requests_received;
+  requests_counted_at_ = now;
+  if (static_cast<double>(received) >= std::max(1.0, kInUseRate * elapsed_s)) {
+    in_use_until_ = now + kInUsePeriod;
+  }
+  const bool was_engaged = host_.directory.engaged();
+  if (!host_.directory.UpdateRole(now < in_use_until_)) return;
+  const bool engaged = host_.directory.engaged();
+  role_broadcasts_ = kRoleBroadcasts;
+  if (engaged && !was_engaged) host_.quota.Rejoin();
+  host_.metrics.SetGauge("host_active", host_.directory.active() ? 1 : 0);
+  host_.log.Write("host_role",
+                  {{"active", host_.directory.active() ? "yes" : "no"},
+                   {"engaged", engaged ? "yes" : "no"},
+                   {"rank", std::to_string(host_.directory.Rank())},
+                   {"hosts", std::to_string(host_.directory.HostCount())}});
+}
+
+bool digest_exchange::IsBroadcastDue() {
+  if (role_broadcasts_ > 0) {
+    --role_broadcasts_;
+    return true;
+  }
+  const auto now = host_.time.now();
+  if (host_.directory.engaged() && now >= next_broadcast_) {
+    next_broadcast_ = now + milliseconds(std::uniform_int_distribution<int>(
+                                kMinBroadcastMilliseconds,
+                                kMaxBroadcastMilliseconds)(host_.random));
+    return true;
+  }
+  return host_.placement_lease.MayAct() ||
+         host_.directory.Rank() < kFleetWorkers;
+}
+
 // After startup the digests of the other hosts arrive within a short time, so
 // the quota shares are updated more often than digests are sent.
 void digest_exchange::WaitForNextDigest(milliseconds interval,
@@ -162,30 +226,32 @@
 }
 
 void digest_exchange::RunHostListing(asio::yield_context yield) {
-  bool written = false;
+  const serving::host_entry own{host_.settings.id, host_.settings.digest_listen,
+                                host_.settings.zone, host_.settings.capacity};
   while (!host_.leaving) {
-    if (!written) {
-      const auto done = host_.store.WriteHost(
-          {host_.settings.id, host_.settings.digest_listen}, yield);
+    const auto hosts = host_.store.ListHosts(yield);
+    bool written = false;
+    if (hosts) {
+      host_.directory.OnListing(*hosts);
+      written = std::find(hosts->begin(), hosts->end(), own) != hosts->end();
+    } else {
+      host_.log.Write("hosts_not_read", {{"detail", hosts.error().detail}});
+    }
+    if (hosts && !written) {
+      const auto done = host_.store.WriteHost(own, yield);
       written = done.has_value();
       if (!done) {
         host_.log.Write("host_not_listed", {{"detail", done.error().detail}});
       }
     }
-    const auto hosts = host_.store.ListHosts(yield);
-    if (hosts) {
-      listed_hosts_.clear();
-      for (const auto& entry : *hosts) {
-        if (entry.host != host_.settings.id) {
-          listed_hosts_[entry.host] = entry.digest_address;
-        }
-      }
+    // As long as no peer was heard, the fleet may still be starting.
+    if (!written || host_.directory.peers().empty()) {
+      Pause(host_.io, kListRetry, yield);
+    } else if (host_.time.now() - host_.started < kListSettling) {
+      Pause(host_.io, kListSettling, yield);
     } else {
-      host_.log.Write("hosts_not_read", {{"detail", hosts.error().detail}});
+      Pause(host_.io, kListInterval, yield);
     }
-    // As long as no peer was heard, the fleet may still be starting.
-    const bool settled = written && hosts && !host_.directory.peers().empty();
-    Pause(host_.io, settled ? kListInterval : kListRetry, yield);
   }
 }
 
@@ -210,8 +276,9 @@
   auto digest = BuildPartialDigest();
   digest.notices.push_back(notice);
   const auto bytes = serving::EncodeDigest(digest);
-  for (const auto& [id, address] : Recipients())
+  for (const auto& [id, address] : host_.directory.Recipients(false)) {
     SendTo(address, kDigestTag, bytes);
+  }
 }
 
 serving::host_digest digest_exchange::BuildPartialDigest() const {
@@ -222,15 +289,6 @@
   return digest;
 }
 
-std::map<host_id, std::string> digest_exchange::Recipients() const {
-  std::map<host_id, std::string> targets = listed_hosts_;
-  const auto now = host_.time.now();
-  for (const auto& [id, peer] : host_.directory.peers()) {
-    if (now - peer.heard < kPeerExpiry) targets[id] = peer.digest_address;
-  }
-  return targets;
-}
-
 serving::host_digest digest_exchange::BuildDigest() {
   serving::host_digest digest;
   digest.host = host_.settings.id;
@@ -243,23 +301,30 @@
           .count();
   digest.number = ++sequence_;
   digest.serving = host_.Serving();
+  digest.active = host_.directory.active();
+  digest.engaged = host_.directory.engaged();
   digest.leaving = host_.leaving;
   digest.holds_placement_lease = host_.placement_lease.MayAct();
   digest.hello = host_.directory.peers().empty();
   digest.in_flight = host_.fleet.OwnInFlight();
-  digest.quota_usages = host_.quota.Usage();
+  if (digest.engaged) digest.quota_usages = host_.quota.Usage();
+  digest.quota_epoch = host_.quota.epoch();
+  digest.quota_age_ms =
+      std::chrono::duration_cast<milliseconds>(host_.quota.Age()).count();
   if (notices) digest.notices = notices();
   digest.crashes = host_.crashes.OwnCrashes();
   return digest;
 }
 
-void digest_exchange::SendDigests() {
-  const auto targets = Recipients();
+void digest_exchange::SendDigests(bool every_host) {
+  const auto targets = host_.directory.Recipients(every_host);
   auto digest = BuildDigest();
   const auto common = serving::EncodeDigest(digest);
   digest.outcomes = host_.fleet.TakeOutcomes();
   const auto for_own_zone = serving::EncodeDigest(digest);
-  const auto* holder = host_.directory.LeaseHolder();
+  // Standby hosts have no demand to report.
+  const auto* holder =
+      host_.directory.engaged() ? host_.directory.LeaseHolder() : nullptr;
   const host_id holder_id = holder == nullptr ? host_id() : holder->newest.host;
   for (const auto& [id, address] : targets) {
     if (id == holder_id) continue;
--- a/packages/edge/digest_exchange.h
+++ b/packages/edge/digest_exchange.h
@@ -18,9 +18,9 @@
 /// and responses of `store_sync`.
 ///
 /// UDP is used because each digest supersedes the previous one, so a lost one
-/// needs no retransmission, and no connection can hang. Every host sends to
-/// every other host; the interval grows with the number of hosts, which keeps
-/// the cost per host constant up to about a hundred hosts.
+/// needs no retransmission, and no connection can hang. `host_directory`
+/// decides which hosts exchange digests; the interval grows with the number of
+/// engaged hosts.
 class digest_exchange {
  public:
   static result<std::unique_ptr<digest_exchange>> Create(edge_state& host,
@@ -36,11 +36,11 @@
   /// Notifies the placement lease holder at once that a request waits for an
   /// adapter.
   void SendAdapterRequest(const serving::adapter_request& request);
-  /// Sends a residency change to every host; called by the placement lease
-  /// holder.
+  /// Sends a residency change to the hosts that get each digest; called by the
+  /// placement lease holder.
   void SendNotice(const serving::residency_notice& notice);
-  /// Sends a digest to every host immediately.
-  void SendDigests();
+  /// Sends a digest to every known host immediately.
+  void SendToEveryHost() { SendDigests(true); }
 
   /// Returns the recent residency changes that this host made as the placement
   /// lease holder, for its digests.
@@ -61,7 +61,10 @@
   void HandleDigest(std::string_view bytes, const std::string& from);
   void SendTo(const std::string& address, char tag, const std::string& bytes);
   serving::host_digest BuildPartialDigest() const;
-  std::map<host_id, std::string> Recipients() const;
+  void SendDigests(bool every_host);
+  void UpdateRole();
+  // Whether the next digest goes to every known host.
+  bool IsBroadcastDue();
   milliseconds Interval() const;
   void WaitForNextDigest(milliseconds interval,
                          boost::asio::yield_context yield);
@@ -71,8 +74,13 @@
   boost::asio::ip::udp::socket socket_;
   std::array<char, 65536> received_;
   std::uint64_t sequence_ = 0;
-  /// Digest addresses from the store, by host.
-  std::map<host_id, std::string> listed_hosts_;
+  /// Digests that go to every host because this host's role has changed.
+  int role_broadcasts_ = 0;
+  clock::time_point next_broadcast_;
+  /// For the rate of requests from callers.
+  std::uint64_t requests_counted_ = 0;
+  clock::time_point requests_counted_at_;
+  clock::time_point in_use_until_;
   std::map<host_id, std::vector<serving::model_rate>> demand_;
   /// When the placement lease holder was last sent a request for an adapter.
   std::map<std::pair<model_id, adapter_id>, clock::time_point>
--- a/packages/edge/edge_host.cpp
+++ b/packages/edge/edge_host.cpp
@@ -201,7 +201,7 @@
       "host_stopping",
       {{"open_requests", std::to_string(host->callers->open_requests())}});
   host->callers->CloseAfterResponses();
-  host->exchange->SendDigests();
+  host->exchange->SendToEveryHost();
   gateway::SpawnTask(state.io, [host, begun](auto yield) {
     auto& state = host->state;
     host->placement->Resign(yield);
--- a/packages/edge/edge_state.h
+++ b/packages/edge/edge_state.h
@@ -80,6 +80,8 @@
   bool leaving = false;
   /// Time from which new requests are rejected.
   clock::time_point reject_new_from = clock::time_point::max();
+  /// Requests received from callers since the start.
+  std::uint64_t requests_received = 0;
   /// Time of the last failed call to the store.
   clock::time_point store_failed_at;
   /// Asks the placement lease holder for an adapter that a request waits for.
--- a/packages/edge/request_relay.cpp
+++ b/packages/edge/request_relay.cpp
@@ -45,6 +45,7 @@
 }
 
 bool relayed_request::Admit() {
+  ++host_.requests_received;
   AwaitConfig();
   if (config_ == nullptr)
     return Refuse(503, "no_configuration", kMinRetryDelay);
--- /dev/null
+++ b/packages/serving/active_hosts.cpp
@@ -0,0 +1,40 @@
+#include "serving/active_hosts.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace bluebell::serving {
+namespace {
+
+// Active hosts of a zone; callers also lose fewer connections to a failed host
+// if there are many.
+constexpr std::size_t kMinActiveHosts = 12;
+// Processor share of the active hosts of a zone, thousandths of a core.
+constexpr int kMinActiveCapacity = 4000;
+
+}  // namespace
+
+std::tuple<int, std::uint64_t, host_id> RankKey(const host_id& host,
+                                                int capacity) {
+  return {-capacity, XXH64(host.value().data(), host.value().size(), 0), host};
+}
+
+std::set<host_id> SelectActive(std::vector<ranked_host> candidates) {
+  std::sort(candidates.begin(), candidates.end(),
+            [](const ranked_host& a, const ranked_host& b) {
+              return RankKey(a.host, a.capacity) < RankKey(b.host, b.capacity);
+            });
+  std::set<host_id> active;
+  int capacity = 0;
+  for (const auto& candidate : candidates) {
+    if (active.size() >= kMinActiveHosts && capacity >= kMinActiveCapacity) {
+      break;
+    }
+    active.insert(candidate.host);
+    capacity += candidate.capacity;
+  }
+  return active;
+}
+
+}  // namespace bluebell::serving
--- a/packages/serving/host_digest.cpp
+++ b/packages/serving/host_digest.cpp
@@ -36,11 +36,14 @@
   out["n"] = digest.number;
   out["state"] = (digest.serving ? 1 : 0) | (digest.leaving ? 2 : 0) |
                  (digest.hello ? 4 : 0) |
-                 (digest.holds_placement_lease ? 8 : 0);
+                 (digest.holds_placement_lease ? 8 : 0) |
+                 (digest.active ? 16 : 0) | (digest.engaged ? 32 : 0);
   json& flight = out["flight"] = json::array();
   for (const auto& [engine, count] : digest.in_flight) {
     flight.push_back(json::array({engine.value(), count}));
   }
+  out["epoch"] = digest.quota_epoch;
+  out["age"] = digest.quota_age_ms;
   json& quota = out["quota"] = json::array();
   for (const auto& entry : digest.quota_usages) {
     quota.push_back(json::array({entry.account.value(),
@@ -125,10 +128,14 @@
   digest.leaving = state & 2;
   digest.hello = state & 4;
   digest.holds_placement_lease = state & 8;
+  digest.active = state & 16;
+  digest.engaged = state & 32;
   for (const auto& row : in.at("flight")) {
     digest.in_flight[endpoint_id(row.at(0).get<std::string>())] =
         row.at(1).get<int>();
   }
+  digest.quota_epoch = in.at("epoch").get<std::uint64_t>();
+  digest.quota_age_ms = in.at("age").get<std::int64_t>();
   for (const auto& row : in.at("quota")) {
     digest.quota_usages.push_back(
         {account_id(row.at(0).get<std::string>()), row.at(1).get<double>(),
--- a/packages/serving/host_digest.h
+++ b/packages/serving/host_digest.h
@@ -44,6 +44,10 @@
   int capacity = 0;
   /// The host accepts callers.
   bool serving = false;
+  /// The host is listed for callers.
+  bool active = false;
+  /// The host takes part in the exchange of all engaged hosts.
+  bool engaged = false;
   /// The host is stopping.
   bool leaving = false;
   /// The host holds the placement lease and sends orders to engines.
@@ -54,6 +58,9 @@
   /// Only in digests to hosts of the same zone.
   outcome_report outcomes;
   std::vector<quota_usage> quota_usages;
+  /// `shared_quota::epoch` and `shared_quota::Age` of the sender.
+  std::uint64_t quota_epoch = 0;
+  std::int64_t quota_age_ms = 0;
   /// Only in digests to the placement lease holder.
   std::vector<model_rate> demand;
   std::vector<adapter_request> adapter_requests;
--- a/packages/serving/host_directory.cpp
+++ b/packages/serving/host_directory.cpp
@@ -1,23 +1,25 @@
 #include "serving/host_directory.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 namespace bluebell::serving {
-namespace {
 
-// Sort key of the host ranking: by descending capacity, then by hash, so that
-// the first hosts are not all in one zone.
-std::tuple<int, std::uint64_t, host_id> RankKey(const host_id& id,
-                                                int capacity) {
-  return {-capacity, XXH64(id.value().data(), id.value().size(), 0), id};
+void host_directory::OnListing(const std::vector<host_entry>& hosts) {
+  listed_.clear();
+  std::map<zone_id, std::vector<ranked_host>> zones;
+  zones[zone_].push_back({self_, capacity_});
+  for (const auto& entry : hosts) {
+    if (entry.host == self_) continue;
+    listed_[entry.host] = entry;
+    zones[entry.zone].push_back({entry.host, entry.capacity});
+  }
+  listed_active_ = 0;
+  for (const auto& [zone, candidates] : zones) {
+    listed_active_ += static_cast<int>(SelectActive(candidates).size());
+  }
 }
 
-}  // namespace
-
 bool host_directory::OnDigest(const host_digest& digest,
                               const std::string& digest_address) {
   if (digest.host == self_) return false;
@@ -37,26 +39,91 @@
   return true;
 }
 
-std::vector<std::string> host_directory::Addresses(const zone_id& zone,
-                                                   bool self_is_serving) const {
-  std::vector<std::string> same_zone;
-  std::vector<std::string> other_zones;
-  if (self_is_serving) {
-    (zone == zone_ ? same_zone : other_zones).push_back(front_address_);
+bool host_directory::UpdateRole(bool in_use) {
+  const bool was_active = active_;
+  const bool was_engaged = engaged_;
+  active_ = ComputeActive();
+  engaged_ = active_ || in_use;
+  return active_ != was_active || engaged_ != was_engaged;
+}
+
+bool host_directory::ComputeActive() const {
+  const auto now = clock_.now();
+  std::vector<ranked_host> candidates = {{self_, capacity_}};
+  for (const auto& [id, peer] : peers_) {
+    const auto& digest = peer.newest;
+    const bool may_serve =
+        digest.serving ||
+        std::chrono::milliseconds(digest.uptime_ms) < kStartupPeriod;
+    if (digest.zone == zone_ && may_serve && !digest.leaving &&
+        now - peer.heard <= kRoleTimeout) {
+      candidates.push_back({id, digest.capacity});
+    }
+  }
+  if (IsStarting()) {
+    for (const auto& [id, entry] : listed_) {
+      if (entry.zone == zone_ && !peers_.count(id)) {
+        candidates.push_back({id, entry.capacity});
+      }
+    }
   }
+  return SelectActive(std::move(candidates)).count(self_) > 0;
+}
+
+bool host_directory::ExchangesWith(const peer& other) const {
+  if (other.newest.zone == zone_) return engaged_ || other.newest.engaged;
+  return engaged_ && other.newest.engaged;
+}
+
+bool host_directory::HeardInTime(const peer& other) const {
+  const auto timeout =
+      ExchangesWith(other) ? kSilenceTimeout : kBroadcastTimeout;
+  return clock_.now() - other.heard <= timeout;
+}
+
+std::map<host_id, std::string> host_directory::Recipients(
+    bool every_host) const {
   const auto now = clock_.now();
+  std::map<host_id, std::string> targets;
+  int engaged_in_zone = 0;
   for (const auto& [id, peer] : peers_) {
-    if (!peer.newest.serving || peer.newest.leaving ||
-        now - peer.heard > kSilenceTimeout) {
-      continue;
+    const auto age = now - peer.heard;
+    if (peer.newest.zone == zone_ && peer.newest.engaged &&
+        age <= kRoleTimeout) {
+      ++engaged_in_zone;
+    }
+    if (age < kPeerExpiry && (every_host || ExchangesWith(peer))) {
+      targets[id] = peer.digest_address;
+    }
+  }
+  const bool whole_zone = engaged_ || engaged_in_zone < kMinEngagedPeers;
+  for (const auto& [id, entry] : listed_) {
+    if (every_host || (whole_zone && entry.zone == zone_)) {
+      targets.emplace(id, entry.digest_address);
+    }
+  }
+  return targets;
+}
+
+std::vector<std::string> host_directory::Addresses(const zone_id& zone,
+                                                   bool self_is_serving) const {
+  std::vector<std::string> preferred;
+  std::vector<std::string> others;
+  const auto add = [&](const zone_id& host_zone, bool is_active,
+                       const std::string& address) {
+    (host_zone == zone && is_active ? preferred : others).push_back(address);
+  };
+  if (self_is_serving) add(zone_, active_, front_address_);
+  for (const auto& [id, peer] : peers_) {
+    const auto& digest = peer.newest;
+    if (digest.serving && !digest.leaving && HeardInTime(peer)) {
+      add(digest.zone, digest.active, digest.front_address);
     }
-    auto& group = peer.newest.zone == zone ? same_zone : other_zones;
-    group.push_back(peer.newest.front_address);
   }
-  if (same_zone.size() < kMinZoneAddresses) {
-    same_zone.insert(same_zone.end(), other_zones.begin(), other_zones.end());
+  if (preferred.size() < kMinZoneAddresses) {
+    preferred.insert(preferred.end(), others.begin(), others.end());
   }
-  return same_zone;
+  return preferred;
 }
 
 bool host_directory::IsInOwnZone(const host_id& host) const {
@@ -68,9 +135,9 @@
   int count = 1;
   const auto now = clock_.now();
   for (const auto& [id, peer] : peers_) {
-    if (now - peer.heard < kCountTimeout) ++count;
+    if (peer.newest.engaged && now - peer.heard < kCountTimeout) ++count;
   }
-  return count;
+  return IsStarting() ? std::max(count, listed_active_) : count;
 }
 
 const host_directory::peer* host_directory::LeaseHolder() const {
@@ -117,11 +184,8 @@
 
 std::vector<host_id> host_directory::TakeSilentHosts() {
   std::vector<host_id> silent;
-  const auto now = clock_.now();
   for (const auto& [id, peer] : peers_) {
-    if (now - peer.heard <= kSilenceTimeout || reported_silent_.count(id)) {
-      continue;
-    }
+    if (HeardInTime(peer) || reported_silent_.count(id)) continue;
     reported_silent_[id] = true;
     silent.push_back(id);
   }
--- a/packages/serving/host_directory.h
+++ b/packages/serving/host_directory.h
@@ -7,16 +7,27 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "serving/active_hosts.h"
 #include "serving/host_digest.h"
 
 namespace bluebell::serving {
 
-/// The other hosts, as known from their digests, and the list of addresses that
-/// callers use.
+/// The other hosts, as known from the store's list and from their digests; who
+/// exchanges digests with whom; and the list of addresses that callers use.
 ///
 /// Callers choose an address at random and cache the list for seconds, so the
 /// list balances load between hosts. A dead host in the list delays each new
 /// connection to it by a second.
+///
+/// In each zone the highest-ranked live hosts are active and are listed for
+/// callers; the others stand by. A host that is active or still receives
+/// requests is engaged. Engaged hosts exchange digests with all engaged hosts
+/// and with the standby hosts of their zone; standby hosts exchange digests
+/// only with the engaged hosts of their zone. The first hosts of the ranking
+/// and the placement lease holder send to every host. Each host decides alone
+/// from what it hears: if the active hosts of a zone fall silent, those that
+/// stand by become active, and step back once enough higher-ranked ones are
+/// heard again.
 class host_directory {
  public:
   struct peer {
@@ -33,19 +44,35 @@
         self_(std::move(self)),
         zone_(std::move(zone)),
         front_address_(std::move(front_address)),
-        capacity_(capacity) {}
+        capacity_(capacity),
+        started_(source.now()) {}
 
+  /// Replaces the hosts that the store lists.
+  void OnListing(const std::vector<host_entry>& hosts);
   /// Applies a digest. Returns false if it is older than the newest one.
   bool OnDigest(const host_digest& digest, const std::string& digest_address);
+  /// Recomputes whether this host is active and engaged. `in_use`: it receives
+  /// requests. Returns whether either changed; the next digests then go to
+  /// every host.
+  bool UpdateRole(bool in_use);
+  /// This host is listed for callers.
+  bool active() const { return active_; }
+  /// This host takes part in the exchange of all engaged hosts.
+  bool engaged() const { return engaged_; }
+
+  /// Digest addresses of the hosts that get this host's next digest, or of all
+  /// known hosts.
+  std::map<host_id, std::string> Recipients(bool every_host) const;
 
-  /// Addresses for a caller in `zone`: the serving hosts of that zone, or of
-  /// all zones if these are fewer than `kMinZoneAddresses`. Includes this host
-  /// if `self_is_serving`.
+  /// Addresses for a caller in `zone`: the active hosts of that zone, or all
+  /// known hosts if these are fewer than `kMinZoneAddresses`. Includes this
+  /// host if `self_is_serving` and it is active or too few others are known.
   std::vector<std::string> Addresses(const zone_id& zone,
                                      bool self_is_serving) const;
 
   /// Number of hosts that may use a share of a fleet-wide limit: this one and
-  /// those that sent a digest within `kCountTimeout`.
+  /// the engaged ones that sent a digest within `kCountTimeout`; after the
+  /// start at least those that the store's list suggests.
   int HostCount() const;
   /// Whether `host` is known and in the zone of this host.
   bool IsInOwnZone(const host_id& host) const;
@@ -59,7 +86,8 @@
   /// One of the first `count` hosts of that ranking, selected by the random
   /// number `draw`; null if no other host is live.
   const peer* PickStoreReader(int count, std::uint64_t draw) const;
-  /// Hosts without a digest for `kSilenceTimeout`, each reported once.
+  /// Hosts whose digests are due but did not arrive for `kSilenceTimeout`, each
+  /// reported once.
   std::vector<host_id> TakeSilentHosts();
 
  private:
@@ -67,15 +95,42 @@
   static constexpr std::size_t kMinZoneAddresses = 2;
   // Three missed digests in small fleets.
   static constexpr std::chrono::milliseconds kSilenceTimeout{1000};
+  // Hosts that send only their regular broadcasts to this one are taken as
+  // live for this long.
+  static constexpr std::chrono::milliseconds kBroadcastTimeout{6500};
+  // A role changes only after several missed digests: each change costs a
+  // broadcast, and callers move.
+  static constexpr std::chrono::milliseconds kRoleTimeout{2000};
+  // After its start a host takes those that the store lists as live until they
+  // could be heard, so that a fleet that starts at once does not exchange
+  // digests between all pairs.
+  static constexpr std::chrono::milliseconds kStartupPeriod{3000};
   static constexpr std::chrono::seconds kCountTimeout{20};
+  // A host that was silent for this long gets digests only if the store lists
+  // it.
+  static constexpr std::chrono::seconds kPeerExpiry{10};
+  // A standby host that hears fewer engaged hosts sends to its whole zone.
+  static constexpr int kMinEngagedPeers = 2;
 
   bool IsLive(const peer& other) const;
+  bool IsStarting() const { return clock_.now() - started_ < kStartupPeriod; }
+  // Whether `other` sends this host each of its digests.
+  bool ExchangesWith(const peer& other) const;
+  bool HeardInTime(const peer& other) const;
+  bool ComputeActive() const;
 
   const clock& clock_;
   host_id self_;
   zone_id zone_;
   std::string front_address_;
   int capacity_;
+  clock::time_point started_;
+  bool active_ = false;
+  bool engaged_ = false;
+  /// Hosts in the store's list other than this one.
+  std::map<host_id, host_entry> listed_;
+  /// Number of hosts that would be active if all listed ones were live.
+  int listed_active_ = 0;
   std::map<host_id, peer> peers_;
   std::map<host_id, bool> reported_silent_;
 };
--- a/packages/serving/shared_quota.cpp
+++ b/packages/serving/shared_quota.cpp
@@ -72,10 +72,9 @@
 }
 
 void shared_quota::OnReport(const host_id& sender,
-                            const std::string& incarnation,
-                            clock::duration uptime,
+                            const std::string& incarnation, clock::duration age,
                             const std::vector<quota_usage>& usages) {
-  const bool older = uptime > clock_.now() - started_;
+  const bool older = age > Age();
   if (older) {
     for (const auto& usage : usages) {
       const auto bucket = buckets_.find(usage.account);
@@ -108,6 +107,17 @@
   }
 }
 
+void shared_quota::Rejoin() {
+  peers_.clear();
+  started_ = clock_.now();
+  ++epoch_;
+  for (auto& [account, bucket] : buckets_) {
+    bucket.spent = 0;
+    bucket.level = kInitialFill * bucket.burst;
+    bucket.level_adopted = false;
+  }
+}
+
 void shared_quota::UpdateShares() {
   const auto now = clock_.now();
   for (auto entry = peers_.begin(); entry != peers_.end();) {
--- a/packages/serving/shared_quota.h
+++ b/packages/serving/shared_quota.h
@@ -13,7 +13,7 @@
 /// Tokens of one client account at one host, as reported to the other hosts.
 struct quota_usage {
   account_id account;
-  /// Tokens admitted since the host started.
+  /// Tokens admitted since the host started or rejoined.
   double spent = 0;
   /// Tokens per second requested at this host, admitted or not.
   double demand_per_s = 0;
@@ -46,12 +46,20 @@
   /// Estimated seconds until this host's share holds `tokens`.
   double SecondsUntil(const account_id& account, double tokens) const;
 
-  /// Applies another host's report. `uptime` is the time since that host
-  /// started; `incarnation` changes when it restarts.
+  /// Applies another host's report. `age` is that host's `Age`; `incarnation`
+  /// changes when it restarts or rejoins.
   void OnReport(const host_id& sender, const std::string& incarnation,
-                clock::duration uptime, const std::vector<quota_usage>& usages);
-  /// The sender has stopped and admits no further requests.
+                clock::duration age, const std::vector<quota_usage>& usages);
+  /// The sender has stopped or left the exchange of reports.
   void OnStopped(const host_id& sender) { peers_.erase(sender); }
+  /// This host takes part in the exchange of reports again after a time in
+  /// which it saw only some of them: it takes levels and amounts spent from the
+  /// next reports, as after a start.
+  void Rejoin();
+  /// Counts the calls to `Rejoin`; amounts spent start anew with each.
+  std::uint64_t epoch() const { return epoch_; }
+  /// Time since the start or the last call to `Rejoin`.
+  clock::duration Age() const { return clock_.now() - started_; }
   /// Recomputes this host's shares. Call before sending each report.
   void UpdateShares();
   /// This host's usage, for the report to the others.
@@ -91,6 +99,7 @@
   const clock& clock_;
   std::mt19937_64 random_;
   clock::time_point started_;
+  std::uint64_t epoch_ = 0;
   clock::time_point shares_updated_;
   std::map<account_id, bucket> buckets_;
   std::map<host_id, peer> peers_;
--- a/packages/serving/tests/host_directory_test.cpp
+++ b/packages/serving/tests/host_directory_test.cpp
@@ -22,12 +22,15 @@
   digest.number = number;
   digest.uptime_ms = 5000;
   digest.serving = true;
+  digest.active = true;
+  digest.engaged = true;
   digest.capacity = 250;
   return digest;
 }
 
 class host_directory_test : public testing::Test {
  protected:
+  host_directory_test() { directory_.UpdateRole(false); }
   std::vector<std::string> Addresses() {
     return directory_.Addresses(kZone, true);
   }
