serving: quotas admit what a window allows, and a full bucket refuses nobody

Cause, from the log of quota decisions that this adds: on the small twin of the large site accounts were refused while their bucket was full, since a host's share of it was smaller than one request and most shares were not used before the next update.

Change: three quarters of the burst are refilled over the quota window, which the platform states; the bucket is spent undivided while the demand that may go unreported stays under 0.4 s of the rate; otherwise shares are sized by the requests that reach a host between updates. Seen failing before: AccountFarAboveItsRateGetsAllOfIt, and RefusesLittleWithinTheRate on the new fleet of 18 hosts.

--- a/packages/edge/digest_exchange.cpp
+++ b/packages/edge/digest_exchange.cpp
@@ -37,10 +37,11 @@
 // Hosts of the ranking that do work for the fleet: the store readers and the
 // one that would replace a lost one.
 constexpr int kFleetWorkers = 4;
-// A standby host with at least this rate of requests per second counts as in
-// use for a while.
-constexpr double kInUseRate = 1;
-constexpr milliseconds kInUsePeriod{3000};
+// A standby host counts as in use for a while if callers sent it at least this
+// many requests within a period; single requests that test a host stay below.
+constexpr milliseconds kInUsePeriod{2000};
+constexpr std::uint64_t kInUseRequests = 8;
+constexpr milliseconds kInUseExtension{3000};
 // Message type: the first byte of a datagram.
 constexpr char kDigestTag = 'D';
 constexpr char kSyncRequestTag = 'Q';
@@ -172,13 +173,12 @@
 
 void digest_exchange::UpdateRole() {
   const auto now = host_.time.now();
-  const double elapsed_s =
-      std::chrono::duration<double>(now - requests_counted_at_).count();
-  const auto received = host_.requests_received - requests_counted_;
-  requests_counted_ = host_.requests_received;
-  requests_counted_at_ = now;
-  if (static_cast<double>(received) >= std::max(1.0, kInUseRate * elapsed_s)) {
-    in_use_until_ = now + kInUsePeriod;
+  if (now - requests_counted_at_ >= kInUsePeriod) {
+    if (host_.requests_received - requests_counted_ >= kInUseRequests) {
+      in_use_until_ = now + kInUseExtension;
+    }
+    requests_counted_ = host_.requests_received;
+    requests_counted_at_ = now;
   }
   const bool was_engaged = host_.directory.engaged();
   if (!host_.directory.UpdateRole(now < in_use_until_)) return;
--- a/packages/edge/edge_settings.cpp
+++ b/packages/edge/edge_settings.cpp
@@ -80,6 +80,7 @@
       DecimalMilliseconds("bounds", "key_withdrawal_ms"),
       DecimalSeconds("bounds", "stop_grace_s"),
       DecimalMilliseconds("bounds", "placement_pause_ms"),
+      DecimalSeconds("bounds", "quota_window_s"),
       DecimalSeconds("bounds", "retry_window_s"),
       Decimal("bounds", "retry_ratio", kMaxRetryRatio),
       Decimal("bounds", "retry_slack", kMaxSlack),
@@ -121,6 +122,8 @@
   // A lower limit, so it is rounded up.
   loaded.placement_pause = ToWholeMilliseconds(
       std::ceil(read->Decimal("bounds", "placement_pause_ms")));
+  loaded.quota_window = ToWholeMilliseconds(
+      read->Decimal("bounds", "quota_window_s") * kMillisecondsPerSecond);
   loaded.retries.window = ToWholeMilliseconds(
       read->Decimal("bounds", "retry_window_s") * kMillisecondsPerSecond);
   loaded.retries.ratio = read->Decimal("bounds", "retry_ratio");
--- a/packages/edge/edge_settings.h
+++ b/packages/edge/edge_settings.h
@@ -34,6 +34,9 @@
   milliseconds stop_grace{};
   /// Minimum time between the orders of two successive placement lease holders.
   milliseconds placement_pause{};
+  /// Span over which the tokens of an account are limited to its rate times
+  /// the span plus its burst.
+  milliseconds quota_window{};
   serving::retry_limits retries;
   /// Time for which callers may cache an address answer.
   milliseconds directory_lifetime{};
--- a/packages/edge/request_relay.cpp
+++ b/packages/edge/request_relay.cpp
@@ -77,6 +77,8 @@
   if (!is_model_) requirements_.model = model_id();
   if (account_ != nullptr && !host_.quota.Take(account_->id, TokenCost())) {
     const double seconds = host_.quota.SecondsUntil(account_->id, TokenCost());
+    last_detail_ = fmt::format("tokens {:.0f} {}", TokenCost(),
+                               host_.quota.Describe(account_->id));
     return Refuse(
         429, "over_quota",
         milliseconds(static_cast<int>(seconds * 1000)) + RetryJitter());
--- a/packages/edge/store_sync.cpp
+++ b/packages/edge/store_sync.cpp
@@ -206,8 +206,10 @@
   }
   host_.config = std::move(read);
   for (const auto& account : host_.config->accounts) {
-    host_.quota.SetLimit(account.id, account.tokens_per_s,
-                         account.burst_tokens);
+    const auto limit =
+        serving::SpreadBurst({account.tokens_per_s, account.burst_tokens},
+                             host_.settings.quota_window);
+    host_.quota.SetLimit(account.id, limit.tokens_per_s, limit.burst_tokens);
   }
   host_.changed.Notify();
   if (host_.on_config) host_.on_config();
--- a/packages/edge/tests/edge_settings_test.cpp
+++ b/packages/edge/tests/edge_settings_test.cpp
@@ -28,8 +28,8 @@
                    const std::string& ratio, const std::string& slack) {
   return "key_withdrawal_ms = " + withdrawal_ms +
          "\nstop_grace_s = " + grace_s + "\nplacement_pause_ms = " + pause_ms +
-         "\nretry_window_s = " + window_s + "\nretry_ratio = " + ratio +
-         "\nretry_slack = " + slack + "\n";
+         "\nquota_window_s = " + window_s + "\nretry_window_s = " + window_s +
+         "\nretry_ratio = " + ratio + "\nretry_slack = " + slack + "\n";
 }
 
 // Guards against a start that fails, or reads another number, because the
@@ -56,6 +56,7 @@
     EXPECT_EQ(loaded->key_withdrawal, expected.withdrawal);
     EXPECT_EQ(loaded->stop_grace, expected.grace);
     EXPECT_EQ(loaded->placement_pause, expected.pause);
+    EXPECT_EQ(loaded->quota_window, expected.window);
     EXPECT_EQ(loaded->retries.window, expected.window);
     EXPECT_DOUBLE_EQ(loaded->retries.ratio, expected.ratio);
     EXPECT_DOUBLE_EQ(loaded->retries.slack, expected.slack);
--- a/packages/serving/shared_quota.cpp
+++ b/packages/serving/shared_quota.cpp
@@ -1,5 +1,7 @@
 #include "serving/shared_quota.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -24,6 +26,16 @@
 constexpr double kInitialFill = 0.5;
 // A new host admits nothing until it had time to receive reports.
 constexpr std::chrono::milliseconds kSettlingTime{500};
+// Fraction of the burst that `SpreadBurst` refills within a window; the rest
+// still absorbs the variation of an account within its rate.
+constexpr double kSpreadBurst = 0.75;
+// Tokens that the hosts may admit without knowing of each other, in seconds of
+// the account's rate: half of the tolerated excess, a tenth of 8 s.
+constexpr double kMaxUnreportedSeconds = 0.4;
+// Fraction of the burst that must be left for a request of more tokens.
+constexpr double kLargeRequestFill = 0.25;
+// Weight of the newest request in the average of its tokens.
+constexpr double kTokensWeight = 0.1;
 // Averaging time of the demand at this host.
 constexpr double kDemandAverageSeconds = 1.0;
 
@@ -33,6 +45,13 @@
 
 }  // namespace
 
+bucket_limit SpreadBurst(bucket_limit limit, clock::duration window) {
+  const double seconds = Seconds(window);
+  if (limit.tokens_per_s <= 0 || seconds <= 0) return limit;
+  const double spread = kSpreadBurst * limit.burst_tokens;
+  return {limit.tokens_per_s + spread / seconds, limit.burst_tokens - spread};
+}
+
 void shared_quota::SetLimit(const account_id& account, double tokens_per_s,
                             double burst_tokens) {
   auto [entry, added] = buckets_.try_emplace(account);
@@ -47,12 +66,23 @@
   bucket.own_share = std::min(bucket.own_share, std::max(0.0, bucket.level));
 }
 
+// A large request needs only a part of its tokens in the bucket; it would
+// otherwise be refused more often than small ones while the level is low.
+double shared_quota::MissingInBucket(const bucket& bucket, double tokens) {
+  if (!bucket.undivided || tokens > bucket.burst) return tokens;
+  return std::min(tokens, kLargeRequestFill * bucket.burst) - bucket.level;
+}
+
 bool shared_quota::Take(const account_id& account, double tokens) {
   const auto found = buckets_.find(account);
   if (found == buckets_.end() || found->second.rate <= 0) return true;
   auto& bucket = found->second;
   bucket.requested_since_update += tokens;
-  if (bucket.own_share < tokens) {
+  bucket.mean_tokens =
+      bucket.mean_tokens <= 0
+          ? tokens
+          : bucket.mean_tokens + kTokensWeight * (tokens - bucket.mean_tokens);
+  if (MissingInBucket(bucket, tokens) > 0 && bucket.own_share < tokens) {
     std::uniform_real_distribution<double> draw(0, tokens);
     if (draw(random_) >= bucket.own_share) return false;
   }
@@ -62,12 +92,22 @@
   return true;
 }
 
+std::string shared_quota::Describe(const account_id& account) const {
+  const auto found = buckets_.find(account);
+  if (found == buckets_.end()) return "no limit";
+  const auto& bucket = found->second;
+  return fmt::format("rate {:.0f} burst {:.0f} level {:.0f} share {:.0f}",
+                     bucket.rate, bucket.burst, bucket.level, bucket.own_share);
+}
+
 double shared_quota::SecondsUntil(const account_id& account,
                                   double tokens) const {
   const auto found = buckets_.find(account);
   if (found == buckets_.end() || found->second.rate <= 0) return 0;
   const auto& bucket = found->second;
-  const double missing = tokens - std::min(bucket.level, bucket.own_share);
+  const double missing =
+      std::min(MissingInBucket(bucket, tokens),
+               tokens - std::min(bucket.level, bucket.own_share));
   return std::max(0.0, missing / bucket.rate);
 }
 
@@ -137,6 +177,7 @@
     const double own_weight = bucket.demand_per_s + min_weight;
     double total_weight = own_weight;
     double silent_weight = 0;
+    double oldest_report_s = 0;
     double total_demand = bucket.demand_per_s;
     for (const auto& [id, peer] : peers_) {
       const auto usage = peer.usages.find(account);
@@ -146,6 +187,7 @@
       total_weight += weight;
       total_demand += weight - min_weight;
       if (now - peer.heard > kSilenceTimeout) silent_weight += weight;
+      oldest_report_s = std::max(oldest_report_s, Seconds(now - peer.heard));
     }
     bucket.level =
         std::min(bucket.burst,
@@ -173,8 +215,26 @@
                          : 0;
     const double unused = std::clamp(
         (1 - total_demand / bucket.rate) / kUnusedRateFraction, 0.0, 1.0);
-    const double overcommit = 1 + (kOvercommit - 1) * fill * unused;
-    if (peers_.empty() && now - started_ < kSettlingTime) continue;
+    // A share is used only if a request arrives before the next update, so the
+    // shares of all hosts are spent in full only if they are larger by this.
+    const double requests =
+        bucket.mean_tokens <= 0
+            ? 1
+            : total_demand * since_update /
+                  (bucket.mean_tokens * static_cast<double>(peers_.size() + 1));
+    const double overcommit =
+        std::max(1 + (kOvercommit - 1) * fill * unused,
+                 std::min(kOvercommit, 1 / std::max(requests, 0.001)));
+    // The others are assumed to spend up to the rate; only what is beyond it
+    // goes unnoticed until their next reports.
+    const double unreported = std::max(0.0, total_demand - bucket.rate) *
+                              (oldest_report_s + since_update);
+    bucket.undivided =
+        silent_weight == 0 && unreported <= kMaxUnreportedSeconds * bucket.rate;
+    if (peers_.empty() && now - started_ < kSettlingTime) {
+      bucket.undivided = false;
+      continue;
+    }
     bucket.own_share = std::max(0.0, overcommit * available * own_weight /
                                          (total_weight - silent_weight));
   }
--- a/packages/serving/shared_quota.h
+++ b/packages/serving/shared_quota.h
@@ -21,15 +21,32 @@
   double level = 0;
 };
 
+/// Parameters of a token bucket.
+struct bucket_limit {
+  double tokens_per_s = 0;
+  double burst_tokens = 0;
+};
+
+/// Returns a bucket that admits as many tokens in any `window` as one with
+/// `limit`, rate x window + burst, but refills most of the burst continuously.
+/// An account that is steadily above its rate thus gets what it may have in
+/// every window, and not only in the first.
+///
+/// Load pattern: the rate of an account is reduced below what it sends, or an
+/// account sends several times its rate for many windows.
+bucket_limit SpreadBurst(bucket_limit limit, clock::duration window);
+
 /// Keeps every client account within its rate and burst over all hosts.
 ///
 /// Each host keeps a token bucket for the account over all hosts and debits it
-/// with the tokens that it admits and that the other hosts report. Between two
-/// reports a host may spend only its share of the bucket, in proportion to its
-/// demand, so that an account far above its rate cannot spend the bucket once
-/// per host. Hosts that stop reporting are assumed to spend their share. In a
-/// large fleet a share may be smaller than a request; such a request is
-/// admitted with a probability that preserves the average rate.
+/// with the tokens that it admits and that the other hosts report. While the
+/// demand that may go unreported is small, a request is admitted if anything is
+/// left in that bucket. Otherwise a host may spend only its share between two
+/// reports, in proportion to its demand, so that an account far above its rate
+/// cannot spend the bucket once per host. Hosts that stop reporting are assumed
+/// to spend their share. In a large fleet a share may be smaller than a
+/// request; such a request is admitted with a probability that preserves the
+/// average rate.
 ///
 /// Workload: one account sends seven times its rate to all hosts, while the
 /// others stay within theirs.
@@ -41,8 +58,10 @@
   /// Sets the limit of an account in tokens; a rate of 0 means no limit.
   void SetLimit(const account_id& account, double tokens_per_s,
                 double burst_tokens);
-  /// Takes `tokens` if this host's share of the bucket permits.
+  /// Takes `tokens` if the bucket or this host's share of it permits.
   bool Take(const account_id& account, double tokens);
+  /// The values that decide about an account's requests, for the log.
+  std::string Describe(const account_id& account) const;
   /// Estimated seconds until this host's share holds `tokens`.
   double SecondsUntil(const account_id& account, double tokens) const;
 
@@ -76,9 +95,13 @@
     double burst = 0;
     double level = 0;
     double own_share = 0;
+    /// The bucket may be spent without regard to shares.
+    bool undivided = false;
     double spent = 0;
     double demand_per_s = 0;
     double requested_since_update = 0;
+    /// Average tokens of a request.
+    double mean_tokens = 0;
     /// The level was initialized from a host that has run for longer.
     bool level_adopted = false;
     clock::time_point refilled;
@@ -96,6 +119,10 @@
     std::map<account_id, peer_usage> usages;
   };
 
+  // Tokens that the undivided bucket lacks for a request; all of them if it may
+  // not be spent that way.
+  static double MissingInBucket(const bucket& bucket, double tokens);
+
   const clock& clock_;
   std::mt19937_64 random_;
   clock::time_point started_;
--- a/packages/serving/tests/shared_quota_test.cpp
+++ b/packages/serving/tests/shared_quota_test.cpp
@@ -28,6 +28,10 @@
   double loss_rate = 0;
   /// Number of hosts that are partitioned from the others in the second half.
   int partitioned_hosts = 0;
+  /// Burst in seconds of the rate.
+  double burst_s = 1;
+  /// The burst is spread over the window.
+  bool spread = false;
 };
 
 struct simulation_outcome {
@@ -37,6 +41,12 @@
   double max_in_window = 0;
 };
 
+// Limit per account of the simulation: a burst of one second of its rate.
+bucket_limit SimulatedLimit(const simulation_setup& setup) {
+  const bucket_limit limit{setup.rate, setup.burst_s * setup.rate};
+  return setup.spread ? SpreadBurst(limit, std::chrono::seconds(8)) : limit;
+}
+
 // Simulates 40 s of Poisson arrivals at a fleet that exchanges reports.
 simulation_outcome Simulate(const simulation_setup& setup, std::uint64_t seed) {
   manual_clock clock;
@@ -44,7 +54,8 @@
   std::vector<std::unique_ptr<shared_quota>> hosts;
   for (int i = 0; i < setup.hosts; ++i) {
     hosts.push_back(std::make_unique<shared_quota>(clock, seed * 1000 + i));
-    hosts.back()->SetLimit(kAccount, setup.rate, setup.rate);
+    const auto limit = SimulatedLimit(setup);
+    hosts.back()->SetLimit(kAccount, limit.tokens_per_s, limit.burst_tokens);
   }
   const auto started = clock.now();
   std::deque<std::pair<clock::time_point, double>> window;
@@ -100,7 +111,7 @@
 // The required limit per window of 8 s: 10% above what the bucket admits, plus
 // 7,500 tokens.
 double Bound(const simulation_setup& setup) {
-  return (setup.rate * 8 + setup.rate) * 1.1 + 7500;
+  return (setup.rate * 8 + setup.burst_s * setup.rate) * 1.1 + 7500;
 }
 
 class shared_quota_fleet : public testing::TestWithParam<simulation_setup> {};
@@ -140,7 +151,55 @@
         // every host refusing such requests.
         simulation_setup{82, 70000, 0.55, 1000, milliseconds(820)},
         simulation_setup{8, 80000, 0.55, 1000, milliseconds(200), 0, 2},
-        simulation_setup{6, 20000, 0.55, 800, milliseconds(200)}));
+        simulation_setup{6, 20000, 0.55, 800, milliseconds(200)},
+        simulation_setup{8, 80000, 0.55, 1000, milliseconds(200), 0, 2, 3.6,
+                         true},
+        simulation_setup{18, 8000, 0.55, 1100, milliseconds(200), 0, 0, 3.6,
+                         true},
+        simulation_setup{60, 70000, 0.55, 1000, milliseconds(600), 0.02, 0, 3.6,
+                         true},
+        simulation_setup{60, 20000, 0.55, 1100, milliseconds(600), 0, 0, 3.6,
+                         true}));
+
+// Guards against refusing in the second and all later windows what the limit
+// per window admits: an account at 1.3 times its rate whose burst is 3.6 s of
+// its rate stays within rate x window + burst.
+TEST(shared_quota, SteadyDemandWithinTheWindowIsAdmitted) {
+  const simulation_setup setup{18, 80000, 1.3, 1000, milliseconds(200),
+                               0,  0,     3.6, true};
+  double asked = 0;
+  double admitted = 0;
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    const auto outcome = Simulate(setup, seed);
+    EXPECT_LE(outcome.max_in_window, Bound(setup)) << "seed " << seed;
+    asked += outcome.asked;
+    admitted += outcome.admitted;
+  }
+  EXPECT_GE(admitted, 0.95 * asked);
+}
+
+// Guards against refusals while the bucket is nearly full: each host gets about
+// one request in a second, and most shares are not used before the next update.
+TEST(shared_quota, AccountFarAboveItsRateGetsAllOfIt) {
+  for (const double demand : {2.0, 3.0}) {
+    const simulation_setup setup{18, 8000, demand, 1100, milliseconds(200),
+                                 0,  0,    3.6,    true};
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+      const auto outcome = Simulate(setup, seed);
+      EXPECT_LE(outcome.max_in_window, Bound(setup)) << "seed " << seed;
+      EXPECT_GE(outcome.admitted, 0.9 * SimulatedLimit(setup).tokens_per_s * 38)
+          << "demand " << demand << " seed " << seed;
+    }
+  }
+}
+
+// The spread bucket admits exactly rate x window + burst in a window.
+TEST(shared_quota, SpreadBurstKeepsTheLimitPerWindow) {
+  const auto limit = SpreadBurst({100, 400}, std::chrono::seconds(8));
+  EXPECT_DOUBLE_EQ(limit.tokens_per_s * 8 + limit.burst_tokens, 1200);
+  EXPECT_GT(limit.tokens_per_s, 100);
+  EXPECT_EQ(SpreadBurst({0, 0}, std::chrono::seconds(8)).tokens_per_s, 0);
+}
 
 // Guards against debiting the tokens of a restarted host twice, and against
 // ignoring them because its previous process reported a higher count.
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -298,6 +298,7 @@
 key_withdrawal_ms = {int(REVOKE_S * 1000)}
 stop_grace_s = {GRACE_S}
 placement_pause_ms = 3000
+quota_window_s = 8
 retry_window_s = 10
 retry_slack = 50
 retry_ratio = 0.2
