edge: requests that are open when a stopping process ends get an answer

Change: before the exit, requests without an answer are answered 504, or 503 if no engine got them; streams are broken off as before. Ruled out: refusing such requests as not run, since the engine has them.

Also: a burst keeps one second of its rate.

--- a/packages/edge/edge_host.cpp
+++ b/packages/edge/edge_host.cpp
@@ -25,6 +25,9 @@
 // The process exits this long before the platform would kill it.
 constexpr milliseconds kStopMargin{700};
 constexpr milliseconds kStopPollInterval{50};
+// Time before the exit in which the answers to requests that are still open are
+// sent.
+constexpr milliseconds kLastAnswersPeriod{150};
 // Limits health log lines to one per second and engine.
 constexpr milliseconds kHealthLogInterval{1000};
 
@@ -215,6 +218,11 @@
       if (served && host->callers->open_requests() == 0) break;
       Pause(state.io, kStopPollInterval, yield);
     }
+    // An engine may not have begun to answer; its caller learns that the answer
+    // is lost instead of waiting on a closed connection.
+    if (EndOpenRequests(state) > 0) {
+      Pause(state.io, kLastAnswersPeriod, yield);
+    }
     state.log.Write(
         "host_stopped",
         {{"open_requests", std::to_string(host->callers->open_requests())}});
--- a/packages/edge/edge_state.h
+++ b/packages/edge/edge_state.h
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 
 #include "base/clock.h"
@@ -25,6 +26,8 @@
 
 namespace bluebell::edge {
 
+class relayed_request;
+
 /// State shared by the components of one entry host. None of it is persisted.
 struct edge_state {
   edge_state(boost::asio::io_context& context, clock& source,
@@ -82,6 +85,8 @@
   clock::time_point reject_new_from = clock::time_point::max();
   /// Requests received from callers since the start.
   std::uint64_t requests_received = 0;
+  /// Requests that are being served.
+  std::set<relayed_request*> open_requests;
   /// Time of the last failed call to the store.
   clock::time_point store_failed_at;
   /// Asks the placement lease holder for an adapter that a request waits for.
--- a/packages/edge/relayed_request.h
+++ b/packages/edge/relayed_request.h
@@ -54,6 +54,8 @@
 
   /// Serves the request to completion.
   void Run();
+  /// Ends the request before its deadline, because the process stops.
+  void EndForStop() { Interrupt(expired_); }
 
  private:
   // Checks route, account and limits. Returns false if the request was refused.
--- a/packages/edge/request_relay.cpp
+++ b/packages/edge/request_relay.cpp
@@ -39,7 +39,9 @@
 void relayed_request::Run() {
   if (!Admit()) return;
   ArmInterrupts();
+  host_.open_requests.insert(this);
   Dispatch();
+  host_.open_requests.erase(this);
   deadline_timer_.reset();
   sink_.OnCallerDisconnect(nullptr);
 }
@@ -331,4 +333,11 @@
   relayed_request(host, received, sink, yield).Run();
 }
 
+std::size_t EndOpenRequests(edge_state& host) {
+  // A copy: a request removes itself when it ends.
+  const auto open = host.open_requests;
+  for (auto* request : open) request->EndForStop();
+  return open.size();
+}
+
 }  // namespace bluebell::edge
--- a/packages/edge/request_relay.h
+++ b/packages/edge/request_relay.h
@@ -17,4 +17,8 @@
                   gateway::response_writer& sink,
                   boost::asio::yield_context yield);
 
+/// Ends every open request because the process stops: one without an answer yet
+/// is answered as failed, a stream is broken off. Returns their number.
+std::size_t EndOpenRequests(edge_state& host);
+
 }  // namespace bluebell::edge
--- a/packages/serving/shared_quota.cpp
+++ b/packages/serving/shared_quota.cpp
@@ -26,9 +26,9 @@
 constexpr double kInitialFill = 0.5;
 // A new host admits nothing until it had time to receive reports.
 constexpr std::chrono::milliseconds kSettlingTime{500};
-// Fraction of the burst that `SpreadBurst` refills within a window; the rest
-// still absorbs the variation of an account within its rate.
-constexpr double kSpreadBurst = 0.75;
+// Seconds of the rate that `SpreadBurst` leaves as the burst: hosts refill the
+// bucket about once per report, and what exceeds the burst is lost.
+constexpr double kKeptBurstSeconds = 1;
 // Tokens that the hosts may admit without knowing of each other, in seconds of
 // the account's rate: half of the tolerated excess, a tenth of 8 s.
 constexpr double kMaxUnreportedSeconds = 0.4;
@@ -48,7 +48,9 @@
 bucket_limit SpreadBurst(bucket_limit limit, clock::duration window) {
   const double seconds = Seconds(window);
   if (limit.tokens_per_s <= 0 || seconds <= 0) return limit;
-  const double spread = kSpreadBurst * limit.burst_tokens;
+  const double spread = std::max(
+      0.0, (limit.burst_tokens - kKeptBurstSeconds * limit.tokens_per_s) /
+               (1 + kKeptBurstSeconds / seconds));
   return {limit.tokens_per_s + spread / seconds, limit.burst_tokens - spread};
 }
 
--- a/packages/serving/shared_quota.h
+++ b/packages/serving/shared_quota.h
@@ -28,9 +28,9 @@
 };
 
 /// Returns a bucket that admits as many tokens in any `window` as one with
-/// `limit`, rate x window + burst, but refills most of the burst continuously.
-/// An account that is steadily above its rate thus gets what it may have in
-/// every window, and not only in the first.
+/// `limit`, rate x window + burst, but refills a burst of several seconds
+/// continuously. An account that is steadily above its rate thus gets what it
+/// may have in every window, and not only in the first.
 ///
 /// Load pattern: the rate of an account is reduced below what it sends, or an
 /// account sends several times its rate for many windows.
--- a/packages/serving/tests/shared_quota_test.cpp
+++ b/packages/serving/tests/shared_quota_test.cpp
@@ -159,6 +159,8 @@
         simulation_setup{60, 70000, 0.55, 1000, milliseconds(600), 0.02, 0, 3.6,
                          true},
         simulation_setup{60, 20000, 0.55, 1100, milliseconds(600), 0, 0, 3.6,
+                         true},
+        simulation_setup{60, 40000, 0.55, 1000, milliseconds(600), 0, 0, 1,
                          true}));
 
 // Guards against refusing in the second and all later windows what the limit
@@ -193,6 +195,17 @@
   }
 }
 
+// Guards against a burst below what the bucket gains between two reports, which
+// would be lost: an account within its rate was refused on hosts that report
+// each 0.6 s.
+TEST(shared_quota, SpreadBurstKeepsASecondOfTheRate) {
+  const auto spread = SpreadBurst({100, 400}, std::chrono::seconds(8));
+  EXPECT_GE(spread.burst_tokens, spread.tokens_per_s - 1e-9);
+  const auto unchanged = SpreadBurst({100, 90}, std::chrono::seconds(8));
+  EXPECT_DOUBLE_EQ(unchanged.tokens_per_s, 100);
+  EXPECT_DOUBLE_EQ(unchanged.burst_tokens, 90);
+}
+
 // The spread bucket admits exactly rate x window + burst in a window.
 TEST(shared_quota, SpreadBurstKeepsTheLimitPerWindow) {
   const auto limit = SpreadBurst({100, 400}, std::chrono::seconds(8));
