edge: bytes without end from an engine are cut off early

Change: an event may have 1 MiB, an answer 4 MiB; the end of an event is looked for in new bytes only. Heads were bounded by the parser already; a test keeps it.

--- a/packages/edge/request_send.cpp
+++ b/packages/edge/request_send.cpp
@@ -33,7 +33,10 @@
 constexpr milliseconds kCrashProbeTimeout{200};
 // Minimum number of events from which the step time is measured.
 constexpr int kMinStepTimeEvents = 3;
-constexpr std::size_t kMaxAnswerBytes = 16 * 1024 * 1024;
+// Limits on what one request holds in memory when an engine sends bytes without
+// end: a whole answer, and one event of a stream. A host has 100 MB.
+constexpr std::size_t kMaxAnswerBytes = 4 * 1024 * 1024;
+constexpr std::size_t kMaxEventBytes = 1024 * 1024;
 
 }  // namespace
 
@@ -193,7 +196,7 @@
       kMaxAnswerBytes, std::max(TimeLeft(), milliseconds(1)), yield_);
   if (!body) {
     last_detail_ = body.error().detail;
-    --runs_;  // counted again by Lost
+    --runs_;  // counted again by OnConnectionLost
     return OnConnectionLost();
   }
   http_response answer{head->status, host_.dialect.CallerFields(*head),
@@ -262,9 +265,17 @@
       return OnConnectionLost();
     }
     if (part->empty()) break;
+    const auto scanned = pending.size();
     pending += *part;
-    const auto complete = CompleteEvents(pending);
-    if (complete == 0) continue;
+    const auto complete = CompleteEvents(pending, scanned);
+    if (complete == 0) {
+      if (pending.size() <= kMaxEventBytes) continue;
+      last_detail_ = "event too large";
+      lease.connection->Close();
+      stream_broken_ = true;
+      --runs_;  // counted again by OnConnectionLost
+      return OnConnectionLost();
+    }
     if (!sink_.started()) {
       RecordFirstAnswer();
       sink_.StartStream({head.status, host_.dialect.CallerFields(head), {}},
--- a/packages/edge/stream_events.cpp
+++ b/packages/edge/stream_events.cpp
@@ -1,15 +1,23 @@
 #include "edge/stream_events.h"
 
 #include <algorithm>
+#include <string_view>
 
 namespace bluebell::edge {
 
-std::size_t CompleteEvents(const std::string& bytes) {
-  const auto lf_end = bytes.rfind("\n\n");
-  const auto crlf_end = bytes.rfind("\r\n\r\n");
+std::size_t CompleteEvents(const std::string& bytes, std::size_t scanned) {
+  // A terminator may begin in the bytes that were scanned before.
+  constexpr std::size_t kLongestTerminator = 4;
+  const std::size_t from =
+      scanned < kLongestTerminator ? 0 : scanned - kLongestTerminator + 1;
+  const std::string_view rest = std::string_view(bytes).substr(from);
+  const auto lf_end = rest.rfind("\n\n");
+  const auto crlf_end = rest.rfind("\r\n\r\n");
   std::size_t end = 0;
-  if (lf_end != std::string::npos) end = lf_end + 2;
-  if (crlf_end != std::string::npos) end = std::max(end, crlf_end + 4);
+  if (lf_end != std::string_view::npos) end = from + lf_end + 2;
+  if (crlf_end != std::string_view::npos) {
+    end = std::max(end, from + crlf_end + 4);
+  }
   return end;
 }
 
--- a/packages/edge/stream_events.h
+++ b/packages/edge/stream_events.h
@@ -5,8 +5,9 @@
 
 namespace bluebell::edge {
 
-/// End offset of the last complete server-sent event in `bytes`, or 0.
-std::size_t CompleteEvents(const std::string& bytes);
+/// End offset of the last complete server-sent event in `bytes`, or 0. The
+/// first `scanned` bytes are known to hold no complete event.
+std::size_t CompleteEvents(const std::string& bytes, std::size_t scanned = 0);
 
 /// Number of events in `events`, which ends with a complete one.
 int CountEvents(const std::string& events);
--- a/packages/edge/tests/stream_events_test.cpp
+++ b/packages/edge/tests/stream_events_test.cpp
@@ -27,5 +27,15 @@
   EXPECT_EQ(CountEvents("id: 1\r\ndata: x\r\n\r\nid: 2\r\n\r\n"), 2);
 }
 
+// Guards against missing the end of an event that arrives in several parts, and
+// against scanning a long event anew for each of them.
+TEST(stream_events, EndOfAnEventThatIsSplitIsFound) {
+  for (const std::string event : {"id: 1\ndata: x\n\n", "data: x\r\n\r\n"}) {
+    for (std::size_t split = 0; split < event.size(); ++split) {
+      EXPECT_EQ(CompleteEvents(event, split), event.size()) << split;
+    }
+  }
+}
+
 }  // namespace
 }  // namespace bluebell::edge
