--- a/packages/serving/copy_planner.cpp
+++ b/packages/serving/copy_planner.cpp
@@ -16,10 +16,6 @@
 constexpr double kMinSwapRatio = 2.0;
 // Copies of an unused model.
 constexpr int kMinCopies = 2;
-// Copies that a model keeps when an unused model without a copy is placed:
-// before traffic starts, the number of copies is all that shows which models
-// are busy.
-constexpr int kCopiesKeptForUnused = 3;
 // Requests per second below which a model counts as idle; its last copy may
 // then be evicted for a model that cannot be served otherwise.
 constexpr double kIdleDemand = 0.02;
@@ -269,13 +265,11 @@
     if (model.copies < 2) {
       return model.demand <= kIdleDemand && NeedsCopyAtOnce(wanted);
     }
-    if (wanted.demand <= kMinDemand) {
-      return model.copies > kCopiesKeptForUnused;
-    }
     const bool urgent =
-        DemandPerCapacity(wanted, 0) > input_.target_rate_per_copy ||
-        (wanted.capacity < 1 - kRoundingTolerance &&
-         wanted.demand > kBusyDemand);
+        wanted.demand > kMinDemand &&
+        (DemandPerCapacity(wanted, 0) > input_.target_rate_per_copy ||
+         (wanted.capacity < 1 - kRoundingTolerance &&
+          wanted.demand > kBusyDemand));
     return model.copies > kMinCopies || urgent;
   }
 
