serving: last copies make way only for models without a copy

Models that are asked for first displaced the last copies of models that were asked for a second later, and unused models got no copy before traffic.

--- a/packages/serving/copy_planner.cpp
+++ b/packages/serving/copy_planner.cpp
@@ -19,9 +19,6 @@
 // Requests per second below which a model counts as idle; its last copy may
 // then be evicted for a model that cannot be served otherwise.
 constexpr double kIdleDemand = 0.02;
-// Load of a model's copies, as a multiple of the target rate, from which on it
-// may displace the last copies of idle models.
-constexpr double kOverloadRatio = 3;
 // Penalty in seconds of load time for evicting a last copy; above that of any
 // other idle copy.
 constexpr double kLastCopyPenaltySeconds = 60;
@@ -250,26 +247,18 @@
     return true;
   }
 
-  // Whether the model cannot be served, or only with long queues, without one
-  // more copy.
-  bool NeedsCopyAtOnce(const model_state& model) const {
-    return model.demand > kIdleDemand &&
-           DemandPerCapacity(model, 0) >
-               kOverloadRatio * input_.target_rate_per_copy;
-  }
-
   // Whether a copy of `model` may be evicted for `wanted`, as far as the number
   // of its copies decides.
   bool HasCopyToSpare(const model_state& model,
                       const model_state& wanted) const {
     if (model.copies < 2) {
-      return model.demand <= kIdleDemand && NeedsCopyAtOnce(wanted);
+      return model.demand <= kIdleDemand && wanted.copies == 0 &&
+             wanted.demand > kIdleDemand;
     }
     const bool urgent =
-        wanted.demand > kMinDemand &&
-        (DemandPerCapacity(wanted, 0) > input_.target_rate_per_copy ||
-         (wanted.capacity < 1 - kRoundingTolerance &&
-          wanted.demand > kBusyDemand));
+        DemandPerCapacity(wanted, 0) > input_.target_rate_per_copy ||
+        (wanted.capacity < 1 - kRoundingTolerance &&
+         wanted.demand > kBusyDemand);
     return model.copies > kMinCopies || urgent;
   }
 
--- a/packages/serving/copy_planner.h
+++ b/packages/serving/copy_planner.h
@@ -77,10 +77,10 @@
 /// on a sudden request or after an engine crash. Further copies follow the
 /// demand of the last seconds and the number of adapters in use. The copy with
 /// the lowest eviction penalty is evicted. The last copy of a model is evicted
-/// only if the model is idle and another one is asked for that has no copy or
-/// is overloaded several times over. A copy at a slow engine counts as a
-/// fraction, so that busy models are placed at fast engines. Loads from an
-/// engine's own memory or disk are preferred to loads from the weight store.
+/// only if the model is idle and another one is asked for that has no copy. A
+/// copy at a slow engine counts as a fraction, so that busy models are placed
+/// at fast engines. Loads from an engine's own memory or disk are preferred to
+/// loads from the weight store.
 ///
 /// Workload: a few models receive most requests, the set of these changes
 /// every ten seconds, a third of the engines is slow, engines crash and
