serving, edge: at most 64 addresses in an answer; open requests leave their set by destructor

Found in the read-through: the fallback to other zones listed every known host, and an exception in a request would have left a dangling pointer for the stop.

--- a/packages/edge/relayed_request.h
+++ b/packages/edge/relayed_request.h
@@ -54,6 +54,10 @@
 
   /// Serves the request to completion.
   void Run();
+  ~relayed_request() { host_.open_requests.erase(this); }
+  relayed_request(const relayed_request&) = delete;
+  relayed_request& operator=(const relayed_request&) = delete;
+
   /// Ends the request before its deadline, because the process stops.
   void EndForStop() { Interrupt(expired_); }
 
--- a/packages/edge/request_relay.cpp
+++ b/packages/edge/request_relay.cpp
@@ -41,7 +41,6 @@
   ArmInterrupts();
   host_.open_requests.insert(this);
   Dispatch();
-  host_.open_requests.erase(this);
   deadline_timer_.reset();
   sink_.OnCallerDisconnect(nullptr);
 }
--- a/packages/serving/host_directory.cpp
+++ b/packages/serving/host_directory.cpp
@@ -123,6 +123,7 @@
   if (preferred.size() < kMinZoneAddresses) {
     preferred.insert(preferred.end(), others.begin(), others.end());
   }
+  if (preferred.size() > kMaxAddresses) preferred.resize(kMaxAddresses);
   return preferred;
 }
 
--- a/packages/serving/host_directory.h
+++ b/packages/serving/host_directory.h
@@ -66,7 +66,8 @@
 
   /// Addresses for a caller in `zone`: the active hosts of that zone, or all
   /// known hosts if these are fewer than `kMinZoneAddresses`. Includes this
-  /// host if `self_is_serving` and it is active or too few others are known.
+  /// host if `self_is_serving` and it is active or too few others are known. At
+  /// most `kMaxAddresses`, those of the zone first.
   std::vector<std::string> Addresses(const zone_id& zone,
                                      bool self_is_serving) const;
 
@@ -93,6 +94,8 @@
  private:
   // With fewer addresses in the caller's zone, other zones are listed too.
   static constexpr std::size_t kMinZoneAddresses = 2;
+  // Addresses in one answer.
+  static constexpr std::size_t kMaxAddresses = 64;
   // Three missed digests in small fleets.
   static constexpr std::chrono::milliseconds kSilenceTimeout{1000};
   // Hosts that send only their regular broadcasts to this one are taken as
--- a/packages/serving/tests/host_directory_test.cpp
+++ b/packages/serving/tests/host_directory_test.cpp
@@ -87,6 +87,16 @@
   EXPECT_EQ(Addresses(), (std::vector<std::string>{"self:80", "near:80"}));
 }
 
+// Guards against an answer that callers reject, when hundreds of hosts of other
+// zones stand in for a zone without its own.
+TEST_F(host_directory_test, AnswerHoldsAtMost64Addresses) {
+  for (int i = 0; i < 200; ++i) {
+    Receive(MakeDigest("far" + std::to_string(i), 1, zone_id("thies")));
+  }
+  EXPECT_EQ(Addresses().size(), 64U);
+  EXPECT_EQ(Addresses().front(), "self:80");
+}
+
 // Guards against assigning fleet-wide work to the host with the least capacity.
 TEST_F(host_directory_test, HostsWithMoreCapacityRankFirst) {
   auto strong = MakeDigest("strong", 1);
