serving: rank keys are computed once, no guard that cannot apply

SelectActive computed two hashes in each comparison of its sort, at every digest; it now sorts the keys. EvictionPenalty returns earlier for a single copy, so its lower bound of one remaining copy had become dead. No change of behaviour; the tests of serving pass (106), format and linter clean on the three files.

--- a/packages/serving/active_hosts.cpp
+++ b/packages/serving/active_hosts.cpp
@@ -20,19 +20,21 @@
   return {-capacity, XXH64(host.value().data(), host.value().size(), 0), host};
 }
 
-std::set<host_id> SelectActive(std::vector<ranked_host> candidates) {
-  std::sort(candidates.begin(), candidates.end(),
-            [](const ranked_host& a, const ranked_host& b) {
-              return RankKey(a.host, a.capacity) < RankKey(b.host, b.capacity);
-            });
+std::set<host_id> SelectActive(const std::vector<ranked_host>& candidates) {
+  std::vector<decltype(RankKey({}, 0))> ranking;
+  ranking.reserve(candidates.size());
+  for (const auto& candidate : candidates) {
+    ranking.push_back(RankKey(candidate.host, candidate.capacity));
+  }
+  std::sort(ranking.begin(), ranking.end());
   std::set<host_id> active;
   int capacity = 0;
-  for (const auto& candidate : candidates) {
+  for (const auto& [negative_capacity, hash, host] : ranking) {
     if (active.size() >= kMinActiveHosts && capacity >= kMinActiveCapacity) {
       break;
     }
-    active.insert(candidate.host);
-    capacity += candidate.capacity;
+    active.insert(host);
+    capacity -= negative_capacity;
   }
   return active;
 }
--- a/packages/serving/active_hosts.h
+++ b/packages/serving/active_hosts.h
@@ -44,6 +44,6 @@
 /// Load pattern: hundreds of hosts of unequal strength serve a load that a few
 /// dozen can carry. Exchanging state between all pairs would cost more than the
 /// requests, and divide quotas and retry budgets into shares too small to use.
-std::set<host_id> SelectActive(std::vector<ranked_host> candidates);
+std::set<host_id> SelectActive(const std::vector<ranked_host>& candidates);
 
 }  // namespace bluebell::serving
--- a/packages/serving/copy_planner.cpp
+++ b/packages/serving/copy_planner.cpp
@@ -272,7 +272,7 @@
     const auto& model = found->second;
     if (model.copies < 2) return kLastCopyPenaltySeconds + model.demand;
     return DemandPerCapacity(model, -engine.RelativeCapacity()) +
-           kFewCopiesPenaltySeconds / std::max(1, model.copies - 1);
+           kFewCopiesPenaltySeconds / (model.copies - 1);
   }
 
   // The evictable model on `engine` with the lowest eviction penalty; none if
--- a/packages/serving/host_directory.cpp
+++ b/packages/serving/host_directory.cpp
@@ -67,7 +67,7 @@
       }
     }
   }
-  return SelectActive(std::move(candidates)).count(self_) > 0;
+  return SelectActive(candidates).count(self_) > 0;
 }
 
 bool host_directory::ExchangesWith(const peer& other) const {
