edge, gateway: log lines tell a request ended by a stop from other ends

The lines of a request could not tell the hypotheses in docs/incidents/stream-lost-in-a-stop.md apart: a request that ended with the process was logged as expired, and no line named the stop signal or the state of the caller's connection.

request_end: outcome ended_for_stop; answer, connection, on_connection, stop_ms. connection_end: phase of a connection that ends within a request or in a stop. host_stopped: number of connections in each phase. No decision is changed.

--- a/packages/edge/decision_log.h
+++ b/packages/edge/decision_log.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <initializer_list>
 #include <string>
@@ -14,6 +15,15 @@
 /// Name and value of one attribute of a log line.
 using log_field = std::pair<std::string_view, std::string>;
 
+inline std::chrono::milliseconds ToMilliseconds(clock::duration span) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(span);
+}
+
+/// `span` in whole milliseconds.
+inline std::string MillisecondText(clock::duration span) {
+  return std::to_string(ToMilliseconds(span).count());
+}
+
 /// Structured log on standard output, one JSON object per line. Never blocks:
 /// lines above the rate limit, or that a full pipe does not accept, are dropped
 /// and counted, and the count is logged.
--- a/packages/edge/edge_host.cpp
+++ b/packages/edge/edge_host.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <map>
 #include <random>
 
 #include "edge/digest_exchange.h"
@@ -55,6 +56,42 @@
   return std::to_string(source()) + "-" + std::to_string(source());
 }
 
+// While the host stops, logs each caller's connection that ends; before that
+// only those that end within a request.
+void LogConnectionEnd(edge_state& state,
+                      const gateway::connection_status& last) {
+  const bool within_request =
+      last.phase == gateway::connection_phase::kReading ||
+      last.phase == gateway::connection_phase::kServing;
+  if (!state.stop_requested_at && !within_request) return;
+  state.log.Write("connection_end",
+                  {{"connection", std::to_string(last.position.connection)},
+                   {"requests", std::to_string(last.position.requests)},
+                   {"phase", ToString(last.phase)},
+                   {"stop_ms", state.stop_requested_at
+                                   ? MillisecondText(state.time.now() -
+                                                     *state.stop_requested_at)
+                                   : ""}});
+}
+
+// Logs the connections that are open when the process ends.
+void LogOpenConnections(edge_state& state, const http_server& callers) {
+  std::map<gateway::connection_phase, int> counts;
+  for (const auto& open : callers.Connections()) {
+    ++counts[open.phase];
+    if (open.phase == gateway::connection_phase::kIdle) continue;
+    LogConnectionEnd(state, open);
+  }
+  using gateway::connection_phase;
+  state.log.Write(
+      "host_stopped",
+      {{"open_requests", std::to_string(callers.open_requests())},
+       {"idle", std::to_string(counts[connection_phase::kIdle])},
+       {"reading", std::to_string(counts[connection_phase::kReading])},
+       {"serving", std::to_string(counts[connection_phase::kServing])},
+       {"closing", std::to_string(counts[connection_phase::kClosing])}});
+}
+
 // Logs engines that become slow or start to fail, and their recovery.
 void LogHealthChanges(edge_state& state, boost::asio::yield_context yield) {
   while (true) {
@@ -127,6 +164,10 @@
                          [host](const auto& request, auto& sink, auto yield) {
                            RelayRequest(host->state, request, sink, yield);
                          });
+  if (host->callers) {
+    host->callers->OnConnectionEnd(
+        [host](const auto& last) { LogConnectionEnd(host->state, last); });
+  }
   host->ready = listen(
       settings.ready_listen, {}, [host](const auto&, auto& sink, auto yield) {
         sink.SendResponse(
@@ -192,6 +233,8 @@
 
 edge_host::~edge_host() = default;
 
+std::uint16_t edge_host::callers_port() const { return impl_->callers->port(); }
+
 void edge_host::Stop() {
   auto* host = impl_.get();
   if (host->stopping) return;
@@ -199,6 +242,7 @@
   auto& state = host->state;
   const auto begun = state.time.now();
   state.leaving = true;
+  state.stop_requested_at = begun;
   state.reject_new_from = begun + kDrainPeriod;
   state.log.Write(
       "host_stopping",
@@ -223,9 +267,7 @@
     if (EndOpenRequests(state) > 0) {
       Pause(state.io, kLastAnswersPeriod, yield);
     }
-    state.log.Write(
-        "host_stopped",
-        {{"open_requests", std::to_string(host->callers->open_requests())}});
+    LogOpenConnections(state, *host->callers);
     if (host->on_stopped) host->on_stopped();
   });
 }
--- a/packages/edge/edge_host.h
+++ b/packages/edge/edge_host.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -23,6 +24,8 @@
       deployment_store& store);
   ~edge_host();
 
+  /// Port for callers; differs from the configured one if that was 0.
+  std::uint16_t callers_port() const;
   /// Starts a graceful stop: callers are directed to other hosts, new requests
   /// are still accepted for a few seconds, and open ones run to completion.
   /// Calls after the first have no effect.
--- a/packages/edge/edge_state.h
+++ b/packages/edge/edge_state.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -81,6 +82,8 @@
   /// Null until the first successful read from the store.
   std::shared_ptr<const serving::serving_config> config;
   bool leaving = false;
+  /// When the stop signal was handled.
+  std::optional<clock::time_point> stop_requested_at;
   /// Time from which new requests are rejected.
   clock::time_point reject_new_from = clock::time_point::max();
   /// Requests received from callers since the start.
--- a/packages/edge/relayed_request.h
+++ b/packages/edge/relayed_request.h
@@ -29,15 +29,6 @@
 
 const char* ToString(send_result result);
 
-inline milliseconds ToMilliseconds(clock::duration span) {
-  return std::chrono::duration_cast<milliseconds>(span);
-}
-
-/// `span` in whole milliseconds, for the log.
-inline std::string MillisecondText(clock::duration span) {
-  return std::to_string(ToMilliseconds(span).count());
-}
-
 /// One request that is forwarded through this host.
 class relayed_request {
  public:
@@ -59,7 +50,10 @@
   relayed_request& operator=(const relayed_request&) = delete;
 
   /// Ends the request before its deadline, because the process stops.
-  void EndForStop() { Interrupt(expired_); }
+  void EndForStop() {
+    ended_for_stop_ = true;
+    Interrupt(expired_);
+  }
 
  private:
   // Checks route, account and limits. Returns false if the request was refused.
@@ -120,6 +114,8 @@
   int Urgency() const;
   void RecordFirstAnswer();
   std::string RouteKind() const;
+  // Time from the stop signal until the request was read; empty without one.
+  std::string StopAgeText() const;
   milliseconds RetryJitter();
   milliseconds RetryDelay() { return kMinRetryDelay + RetryJitter(); }
   bool Refuse(int status, const char* reason,
@@ -158,6 +154,8 @@
   clock::time_point deadline_;
   bool caller_gone_ = false;
   bool expired_ = false;
+  /// `expired_` was set because the process stops.
+  bool ended_for_stop_ = false;
 
   std::set<endpoint_id> tried_;
   int sends_ = 0;
--- a/packages/edge/request_relay.cpp
+++ b/packages/edge/request_relay.cpp
@@ -34,6 +34,18 @@
 // merely in flight beside the cause is unlikely to be there three times.
 constexpr int kCrashLimit = 3;
 
+const char* ToString(gateway::response_progress progress) {
+  switch (progress) {
+    case gateway::response_progress::kNone:
+      return "none";
+    case gateway::response_progress::kPartial:
+      return "part";
+    case gateway::response_progress::kComplete:
+      return "whole";
+  }
+  return "";
+}
+
 }  // namespace
 
 void relayed_request::Run() {
@@ -163,7 +175,7 @@
       case send_result::kCallerGone:
         return End(ToString(result), 0);
       case send_result::kExpired:
-        return Fail(504, "expired");
+        return Fail(504, ended_for_stop_ ? "ended_for_stop" : "expired");
       case send_result::kNotRun:
         tried_.insert(choice.engine);
         // A send that did not reach an engine needs no retry budget.
@@ -274,6 +286,11 @@
   return route_->repeatable ? "repeatable" : "once";
 }
 
+std::string relayed_request::StopAgeText() const {
+  if (!host_.stop_requested_at) return "";
+  return MillisecondText(received_at_ - *host_.stop_requested_at);
+}
+
 milliseconds relayed_request::RetryJitter() {
   return milliseconds(
       std::uniform_int_distribution<int>(20, 200)(host_.random));
@@ -303,6 +320,7 @@
   const auto total = host_.time.now() - received_at_;
   host_.metrics.RecordEnd(RouteKind(), outcome, total);
   const auto age = host_.freshness.Age();
+  const auto position = sink_.position();
   host_.log.Write(
       "request_end",
       {{"request", caller_.id.value()},
@@ -320,6 +338,10 @@
                         ? MillisecondText(*first_forwarded_at_ - received_at_)
                         : ""},
        {"gap_ms", last_event_at_ ? MillisecondText(longest_gap_) : ""},
+       {"answer", ToString(sink_.progress())},
+       {"connection", std::to_string(position.connection)},
+       {"on_connection", std::to_string(position.requests)},
+       {"stop_ms", StopAgeText()},
        {"config", config_ == nullptr ? "" : std::to_string(config_->version)},
        {"config_age_ms", age ? MillisecondText(*age) : ""},
        {"detail", last_detail_},
--- a/packages/gateway/http_server.cpp
+++ b/packages/gateway/http_server.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <map>
 #include <optional>
 #include <set>
 
@@ -22,6 +23,20 @@
 
 }  // namespace
 
+const char* ToString(connection_phase phase) {
+  switch (phase) {
+    case connection_phase::kIdle:
+      return "idle";
+    case connection_phase::kReading:
+      return "reading";
+    case connection_phase::kServing:
+      return "serving";
+    case connection_phase::kClosing:
+      return "closing";
+  }
+  return "";
+}
+
 /// State shared by the connections of one listener.
 struct http_server::state {
   state(asio::io_context& io, http_limits bounds, handler request,
@@ -39,7 +54,10 @@
   handler on_request;
   error_handler on_request_error;
   std::size_t open_requests = 0;
-  std::size_t open_connections = 0;
+  std::uint64_t next_connection = 0;
+  /// Open connections by number.
+  std::map<std::uint64_t, connection_status> connections;
+  std::function<void(const connection_status&)> on_connection_end;
   bool close_after_responses = false;
   /// Connections that wait for the first byte of a request.
   std::set<beast::tcp_stream*> idle;
@@ -102,10 +120,11 @@
  public:
   connection_writer(beast::tcp_stream& stream, const http_limits& limits,
                     std::shared_ptr<disconnect_detector> detector,
-                    bool keep_alive)
+                    connection_position position, bool keep_alive)
       : stream_(stream),
         limits_(limits),
         detector_(std::move(detector)),
+        position_(position),
         keep_alive_(keep_alive) {}
 
   void SendResponse(const http_response& response,
@@ -168,6 +187,12 @@
     stream_.socket().close(ignored);
   }
 
+  response_progress progress() const override {
+    if (!started_) return response_progress::kNone;
+    return finished_ ? response_progress::kComplete
+                     : response_progress::kPartial;
+  }
+  connection_position position() const override { return position_; }
   bool started() const override { return started_; }
   bool caller_disconnected() const override {
     return detector_->disconnected();
@@ -189,6 +214,7 @@
   beast::tcp_stream& stream_;
   const http_limits& limits_;
   std::shared_ptr<disconnect_detector> detector_;
+  connection_position position_;
   bool keep_alive_;
   bool started_ = false;
   bool finished_ = false;
@@ -258,14 +284,24 @@
 class connection : public std::enable_shared_from_this<connection> {
  public:
   connection(std::shared_ptr<http_server::state> shared, tcp::socket socket)
-      : state_(std::move(shared)), stream_(std::move(socket)) {
-    ++state_->open_connections;
+      : state_(std::move(shared)),
+        stream_(std::move(socket)),
+        number_(++state_->next_connection),
+        status_(state_->connections[number_]) {
+    status_.position.connection = number_;
+  }
+  ~connection() {
+    const connection_status last = status_;
+    state_->connections.erase(number_);
+    if (state_->on_connection_end) state_->on_connection_end(last);
   }
-  ~connection() { --state_->open_connections; }
+  connection(const connection&) = delete;
+  connection& operator=(const connection&) = delete;
 
   void Run(asio::yield_context yield) {
     DisableNagle(stream_.socket());
     while (ServeOne(yield)) {
+      status_.phase = connection_phase::kIdle;
     }
     io_error ignored;
     stream_.socket().shutdown(tcp::socket::shutdown_both, ignored);
@@ -293,9 +329,13 @@
       stream_.expires_after(state_->limits.idle_timeout);
       const std::size_t count =
           stream_.async_read_some(buffer_.prepare(kReadBytes), yield[ec]);
-      if (ec) return ec;
+      if (ec) {
+        status_.phase = connection_phase::kClosing;
+        return ec;
+      }
       buffer_.commit(count);
     }
+    status_.phase = connection_phase::kReading;
     stream_.expires_never();
     {
       read_deadline deadline(stream_.socket(), state_->limits.header_timeout);
@@ -323,12 +363,18 @@
     // have pending, has no time limit.
     stream_.expires_never();
     auto detector = std::make_shared<disconnect_detector>(stream_.socket());
-    connection_writer writer(stream_, state_->limits, detector, keep_alive);
+    status_.phase = connection_phase::kServing;
+    ++status_.position.requests;
+    connection_writer writer(stream_, state_->limits, detector,
+                             status_.position, keep_alive);
     detector->Start();
     ++state_->open_requests;
     state_->on_request(request, writer, yield);
     --state_->open_requests;
     detector->Stop();
+    if (writer.progress() == response_progress::kComplete) {
+      status_.phase = connection_phase::kClosing;
+    }
     return writer.reusable();
   }
 
@@ -337,7 +383,8 @@
     if (!code) return false;
     const auto detector =
         std::make_shared<disconnect_detector>(stream_.socket());
-    connection_writer writer(stream_, state_->limits, detector, false);
+    connection_writer writer(stream_, state_->limits, detector,
+                             status_.position, false);
     writer.SendResponse(state_->on_request_error(*code, ec.message()), yield);
     Linger(yield);
     return false;
@@ -363,6 +410,8 @@
   std::shared_ptr<http_server::state> state_;
   beast::tcp_stream stream_;
   beast::flat_buffer buffer_;
+  std::uint64_t number_;
+  connection_status& status_;
 };
 
 void AcceptLoop(const std::shared_ptr<http_server::state>& shared,
@@ -414,6 +463,8 @@
 http_server::~http_server() {
   io_error ignored;
   state_->acceptor.close(ignored);
+  // Connections may outlive the server and what its callback refers to.
+  state_->on_connection_end = nullptr;
 }
 
 std::uint16_t http_server::port() const {
@@ -423,7 +474,21 @@
 std::size_t http_server::open_requests() const { return state_->open_requests; }
 
 std::size_t http_server::open_connections() const {
-  return state_->open_connections;
+  return state_->connections.size();
+}
+
+std::vector<connection_status> http_server::Connections() const {
+  std::vector<connection_status> all;
+  all.reserve(state_->connections.size());
+  for (const auto& [number, status] : state_->connections) {
+    all.push_back(status);
+  }
+  return all;
+}
+
+void http_server::OnConnectionEnd(
+    std::function<void(const connection_status&)> callback) {
+  state_->on_connection_end = std::move(callback);
 }
 
 void http_server::SetLimits(const http_limits& limits) {
--- a/packages/gateway/http_server.h
+++ b/packages/gateway/http_server.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "base/problem.h"
 #include "base/result.h"
@@ -26,6 +27,24 @@
   std::chrono::milliseconds write_timeout{30'000};
 };
 
+enum class connection_phase {
+  /// Waits for the first byte of a request.
+  kIdle,
+  /// Has read part of a request.
+  kReading,
+  /// The handler serves a request.
+  kServing,
+  /// The last response was sent, or the caller closed the connection.
+  kClosing,
+};
+
+const char* ToString(connection_phase phase);
+
+struct connection_status {
+  connection_position position;
+  connection_phase phase = connection_phase::kIdle;
+};
+
 /// HTTP/1.1 listener. Each connection is a coroutine that reads one request,
 /// calls the handler and repeats until either side closes.
 class http_server {
@@ -49,6 +68,10 @@
   /// Requests in progress.
   std::size_t open_requests() const;
   std::size_t open_connections() const;
+  std::vector<connection_status> Connections() const;
+  /// Sets a function that is called with the last status of each connection
+  /// that ends.
+  void OnConnectionEnd(std::function<void(const connection_status&)> callback);
 
   /// Replaces the limits for subsequent requests.
   void SetLimits(const http_limits& limits);
--- a/packages/gateway/response_writer.h
+++ b/packages/gateway/response_writer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/spawn.hpp>
+#include <cstdint>
 #include <functional>
 #include <string_view>
 
@@ -8,6 +9,17 @@
 
 namespace bluebell::gateway {
 
+/// How much of a response was written to the caller's connection.
+enum class response_progress { kNone, kPartial, kComplete };
+
+/// Position of a request on its caller's connection, for logs.
+struct connection_position {
+  /// Unique among the connections of one listener.
+  std::uint64_t connection = 0;
+  /// Number of requests read from the connection, including this one.
+  int requests = 0;
+};
+
 /// Writes the response to one request: a complete response or a stream.
 class response_writer {
  public:
@@ -26,6 +38,8 @@
   /// caller sees a transport error instead of a truncated response.
   virtual void AbortStream() = 0;
 
+  virtual response_progress progress() const = 0;
+  virtual connection_position position() const = 0;
   /// Whether anything was sent to the caller.
   virtual bool started() const = 0;
   /// Whether the caller closed its connection.
