serving, edge: a stopping host accepts only requests that can end before it

Cause: the time for which a stopping host accepts requests (3.2 s) was fixed and did not depend on how long the request may run, while the time until the process ends is fixed too (7.3 s after the signal with a grace time of 8 s). A request that arrives at 3.2 s has 4.1 s; chats and reports may run for 10 and 12 s. Class of fault: work is accepted by a limit that knows nothing of the time that is left for it.

Evidence: stopping_host.RequestThatOutlastsTheStopIsRefused failed before. The line of its request had stop_ms 3080, ms 4261, wait_ms 0, outcome ended_for_stop and answer part, which excludes a late send, a connection closed under the request, and an end by the engine in this run.

Change: stop_admission accepts a request of a stopping host if its time limit ends before the process. Otherwise only in the first 2.5 s, and if the longest recent requests of its route, per output token that the caller states, would have ended in time with a margin of a quarter. Others are refused at once as not run.

Ruled out: refusing every request whose time limit lies beyond the end. All chats would be refused from the signal on, which takes a caller's only retry.

--- a/packages/edge/edge_host.cpp
+++ b/packages/edge/edge_host.cpp
@@ -20,9 +20,6 @@
 using gateway::http_server;
 using gateway::response_writer;
 
-// Time for which a stopping host accepts new requests: callers cache an
-// address answer for up to three times its lifetime.
-constexpr milliseconds kDrainPeriod{3200};
 // The process exits this long before the platform would kill it.
 constexpr milliseconds kStopMargin{700};
 constexpr milliseconds kStopPollInterval{50};
@@ -63,15 +60,14 @@
   const bool within_request =
       last.phase == gateway::connection_phase::kReading ||
       last.phase == gateway::connection_phase::kServing;
-  if (!state.stop_requested_at && !within_request) return;
-  state.log.Write("connection_end",
-                  {{"connection", std::to_string(last.position.connection)},
-                   {"requests", std::to_string(last.position.requests)},
-                   {"phase", ToString(last.phase)},
-                   {"stop_ms", state.stop_requested_at
-                                   ? MillisecondText(state.time.now() -
-                                                     *state.stop_requested_at)
-                                   : ""}});
+  const auto stop = state.stop.begun();
+  if (!stop && !within_request) return;
+  state.log.Write(
+      "connection_end",
+      {{"connection", std::to_string(last.position.connection)},
+       {"requests", std::to_string(last.position.requests)},
+       {"phase", ToString(last.phase)},
+       {"stop_ms", stop ? MillisecondText(state.time.now() - *stop) : ""}});
 }
 
 // Logs the connections that are open when the process ends.
@@ -241,25 +237,25 @@
   host->stopping = true;
   auto& state = host->state;
   const auto begun = state.time.now();
+  const auto last = begun + state.settings.stop_grace - kStopMargin;
   state.leaving = true;
-  state.stop_requested_at = begun;
-  state.reject_new_from = begun + kDrainPeriod;
+  state.stop.Begin(last);
   state.log.Write(
       "host_stopping",
       {{"open_requests", std::to_string(host->callers->open_requests())}});
   host->callers->CloseAfterResponses();
   host->exchange->SendToEveryHost();
-  gateway::SpawnTask(state.io, [host, begun](auto yield) {
+  const auto accepts_until = begun + serving::stop_admission::kAcceptPeriod;
+  gateway::SpawnTask(state.io, [host, accepts_until, last](auto yield) {
     auto& state = host->state;
     host->placement->Resign(yield);
     const auto removed = state.store.RemoveHost(state.settings.id, yield);
     if (!removed) {
       state.log.Write("host_not_removed", {{"detail", removed.error().detail}});
     }
-    const auto last = begun + state.settings.stop_grace - kStopMargin;
     while (state.time.now() < last) {
-      const bool served = state.time.now() >= state.reject_new_from;
-      if (served && host->callers->open_requests() == 0) break;
+      const bool refuses = state.time.now() >= accepts_until;
+      if (refuses && host->callers->open_requests() == 0) break;
       Pause(state.io, kStopPollInterval, yield);
     }
     // An engine may not have begun to answer; its caller learns that the answer
--- a/packages/edge/edge_host.h
+++ b/packages/edge/edge_host.h
@@ -27,7 +27,8 @@
   /// Port for callers; differs from the configured one if that was 0.
   std::uint16_t callers_port() const;
   /// Starts a graceful stop: callers are directed to other hosts, new requests
-  /// are still accepted for a few seconds, and open ones run to completion.
+  /// are accepted for a few seconds if they can end before the process, and
+  /// open ones run to completion.
   /// Calls after the first have no effect.
   void Stop();
   /// Sets a function that is called once when the stop has completed.
--- a/packages/edge/edge_state.h
+++ b/packages/edge/edge_state.h
@@ -2,7 +2,6 @@
 
 #include <boost/asio/io_context.hpp>
 #include <memory>
-#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -24,6 +23,7 @@
 #include "serving/service_retry_budget.h"
 #include "serving/serving_config.h"
 #include "serving/shared_quota.h"
+#include "serving/stop_admission.h"
 
 namespace bluebell::edge {
 
@@ -55,6 +55,7 @@
         demand(source, kDemandWindow),
         placement_lease(source, settings.id, incarnation,
                         settings.placement_pause),
+        stop(source),
         crashes(source, kCrashRetention, [](const std::string&, int) {}) {}
 
   /// A request that crashes engines is rejected for this long.
@@ -82,10 +83,6 @@
   /// Null until the first successful read from the store.
   std::shared_ptr<const serving::serving_config> config;
   bool leaving = false;
-  /// When the stop signal was handled.
-  std::optional<clock::time_point> stop_requested_at;
-  /// Time from which new requests are rejected.
-  clock::time_point reject_new_from = clock::time_point::max();
   /// Requests received from callers since the start.
   std::uint64_t requests_received = 0;
   /// Requests that are being served.
@@ -106,6 +103,7 @@
   serving::host_directory directory;
   serving::demand_average demand;
   serving::placement_lease placement_lease;
+  serving::stop_admission stop;
   routing::quarantine crashes;
   /// Called when a new configuration takes effect.
   std::function<void()> on_config;
--- a/packages/edge/request_relay.cpp
+++ b/packages/edge/request_relay.cpp
@@ -64,7 +64,9 @@
     return Refuse(503, "no_configuration", kMinRetryDelay);
   route_ = config_->FindRoute(caller_.host, received_.path);
   if (route_ == nullptr) return Refuse(404, "no_route", std::nullopt);
-  if (host_.time.now() >= host_.reject_new_from) {
+  const auto time_limit =
+      std::min(route_->timeout, caller_.deadline.value_or(route_->timeout));
+  if (!host_.stop.Accepts(route_->name, time_limit, caller_.output_tokens)) {
     return Refuse(503, "stopping", kRetryNow);
   }
   if (!config_->accounts.empty() && !route_->open) {
@@ -74,9 +76,7 @@
     account_ = config_->FindAccount(caller_.key);
     if (account_ == nullptr) return Refuse(401, "unknown_key", std::nullopt);
   }
-  deadline_ =
-      received_at_ +
-      std::min(route_->timeout, caller_.deadline.value_or(route_->timeout));
+  deadline_ = received_at_ + time_limit;
   requirements_.service = ChooseService();
   requirements_.model = caller_.model;
   requirements_.adapter = caller_.adapter;
@@ -287,8 +287,8 @@
 }
 
 std::string relayed_request::StopAgeText() const {
-  if (!host_.stop_requested_at) return "";
-  return MillisecondText(received_at_ - *host_.stop_requested_at);
+  const auto begun = host_.stop.begun();
+  return begun ? MillisecondText(received_at_ - *begun) : "";
 }
 
 milliseconds relayed_request::RetryJitter() {
@@ -319,6 +319,12 @@
 void relayed_request::End(const std::string& outcome, int status) {
   const auto total = host_.time.now() - received_at_;
   host_.metrics.RecordEnd(RouteKind(), outcome, total);
+  if (sends_ > 0) {
+    const auto first_answer =
+        first_forwarded_at_ ? *first_forwarded_at_ - received_at_ : total;
+    host_.stop.OnEnded(route_->name, first_answer, total - first_answer,
+                       caller_.output_tokens);
+  }
   const auto age = host_.freshness.Age();
   const auto position = sink_.position();
   host_.log.Write(
