--- a/packages/edge/request_relay.cpp
+++ b/packages/edge/request_relay.cpp
@@ -34,6 +34,18 @@
 // merely in flight beside the cause is unlikely to be there three times.
 constexpr int kCrashLimit = 3;
 
+const char* ToString(gateway::response_progress progress) {
+  switch (progress) {
+    case gateway::response_progress::kNone:
+      return "none";
+    case gateway::response_progress::kPartial:
+      return "part";
+    case gateway::response_progress::kComplete:
+      return "whole";
+  }
+  return "";
+}
+
 }  // namespace
 
 void relayed_request::Run() {
@@ -52,7 +64,9 @@
     return Refuse(503, "no_configuration", kMinRetryDelay);
   route_ = config_->FindRoute(caller_.host, received_.path);
   if (route_ == nullptr) return Refuse(404, "no_route", std::nullopt);
-  if (host_.time.now() >= host_.reject_new_from) {
+  const auto time_limit =
+      std::min(route_->timeout, caller_.deadline.value_or(route_->timeout));
+  if (!host_.stop.Accepts(route_->name, time_limit, caller_.output_tokens)) {
     return Refuse(503, "stopping", kRetryNow);
   }
   if (!config_->accounts.empty() && !route_->open) {
@@ -62,9 +76,7 @@
     account_ = config_->FindAccount(caller_.key);
     if (account_ == nullptr) return Refuse(401, "unknown_key", std::nullopt);
   }
-  deadline_ =
-      received_at_ +
-      std::min(route_->timeout, caller_.deadline.value_or(route_->timeout));
+  deadline_ = received_at_ + time_limit;
   requirements_.service = ChooseService();
   requirements_.model = caller_.model;
   requirements_.adapter = caller_.adapter;
@@ -163,7 +175,7 @@
       case send_result::kCallerGone:
         return End(ToString(result), 0);
       case send_result::kExpired:
-        return Fail(504, "expired");
+        return Fail(504, ended_for_stop_ ? "ended_for_stop" : "expired");
       case send_result::kNotRun:
         tried_.insert(choice.engine);
         // A send that did not reach an engine needs no retry budget.
@@ -274,6 +286,11 @@
   return route_->repeatable ? "repeatable" : "once";
 }
 
+std::string relayed_request::StopAgeText() const {
+  const auto begun = host_.stop.begun();
+  return begun ? MillisecondText(received_at_ - *begun) : "";
+}
+
 milliseconds relayed_request::RetryJitter() {
   return milliseconds(
       std::uniform_int_distribution<int>(20, 200)(host_.random));
@@ -302,7 +319,14 @@
 void relayed_request::End(const std::string& outcome, int status) {
   const auto total = host_.time.now() - received_at_;
   host_.metrics.RecordEnd(RouteKind(), outcome, total);
+  if (sends_ > 0) {
+    const auto first_answer =
+        first_forwarded_at_ ? *first_forwarded_at_ - received_at_ : total;
+    host_.stop.OnEnded(route_->name, first_answer, total - first_answer,
+                       caller_.output_tokens);
+  }
   const auto age = host_.freshness.Age();
+  const auto position = sink_.position();
   host_.log.Write(
       "request_end",
       {{"request", caller_.id.value()},
@@ -320,6 +344,10 @@
                         ? MillisecondText(*first_forwarded_at_ - received_at_)
                         : ""},
        {"gap_ms", last_event_at_ ? MillisecondText(longest_gap_) : ""},
+       {"answer", ToString(sink_.progress())},
+       {"connection", std::to_string(position.connection)},
+       {"on_connection", std::to_string(position.requests)},
+       {"stop_ms", StopAgeText()},
        {"config", config_ == nullptr ? "" : std::to_string(config_->version)},
        {"config_age_ms", age ? MillisecondText(*age) : ""},
        {"detail", last_detail_},
