--- a/packages/base/ids.h
+++ b/packages/base/ids.h
@@ -19,6 +19,8 @@
 using model_id = strong_type<struct model_tag, std::string>;
 /// An adapter, by the id of its row.
 using adapter_id = strong_type<struct adapter_tag, std::string>;
+/// A part of a prompt that several requests may share.
+using prompt_part_id = strong_type<struct prompt_part_tag, std::string>;
 /// One request as seen by one entry host.
 using request_id = strong_type<struct request_tag, std::string>;
 /// One run of a host process; a restarted process has a new incarnation.
--- a/packages/edge/relayed_request.h
+++ b/packages/edge/relayed_request.h
@@ -176,9 +176,11 @@
   gateway::endpoint_connection* active_connection_ = nullptr;
   clock::time_point sent_at_;
   std::optional<clock::duration> first_answer_;
-  /// Arrival of the first part of the stream, and the number of later events.
+  /// Arrival of the first part of the stream, the number of later events, and
+  /// of all events.
   std::optional<clock::time_point> first_part_at_;
   int events_after_first_part_ = 0;
+  int events_forwarded_ = 0;
   bool reused_ = false;
   /// Whether the send had a connection, so that it could reach the engine.
   bool reached_engine_ = false;
--- a/packages/edge/request_dialect.h
+++ b/packages/edge/request_dialect.h
@@ -33,6 +33,9 @@
   adapter_id adapter;
   std::optional<std::int64_t> prompt_tokens;
   std::optional<std::int64_t> output_tokens;
+  /// Parts of the prompt in order, without the last one, which belongs to the
+  /// request or its session alone.
+  std::vector<prompt_part_id> shared_parts;
 };
 
 /// Values that this host adds to a forwarded request.
--- a/packages/edge/request_send.cpp
+++ b/packages/edge/request_send.cpp
@@ -38,6 +38,26 @@
 constexpr std::size_t kMaxAnswerBytes = 4 * 1024 * 1024;
 constexpr std::size_t kMaxEventBytes = 1024 * 1024;
 
+// A request that was in an engine's hands when its connection ended.
+struct lost_request {
+  request_id request;
+  endpoint_id engine;
+  std::string address;
+  std::string fingerprint;
+  std::vector<prompt_part_id> parts;
+  /// Events of its stream that were forwarded from that engine.
+  int events = 0;
+};
+
+std::string PartsText(const std::vector<prompt_part_id>& parts) {
+  std::string text;
+  for (const auto& part : parts) {
+    if (!text.empty()) text += ',';
+    text += part.value();
+  }
+  return text;
+}
+
 }  // namespace
 
 const char* ToString(send_result result) {
@@ -60,18 +80,23 @@
 
 void relayed_request::DetectCrash(const std::string& address) {
   edge_state& host = host_;
-  gateway::SpawnTask(
-      host_.io, [&host, address, fingerprint = fingerprint_](auto yield) {
-        const auto begun = host.time.now();
-        const auto opened = gateway::endpoint_connection::Connect(
-            host.io, address, kCrashProbeTimeout, yield);
-        const bool refused =
-            !opened && host.time.now() - begun < kCrashProbeTimeout;
-        if (!refused) return;
-        host.crashes.RecordCrash(fingerprint);
-        host.log.Write("engine_crashed",
-                       {{"address", address}, {"fingerprint", fingerprint}});
-      });
+  lost_request lost{caller_.id,   last_engine_,         address,
+                    fingerprint_, caller_.shared_parts, events_forwarded_};
+  gateway::SpawnTask(host_.io, [&host, lost = std::move(lost)](auto yield) {
+    const auto begun = host.time.now();
+    const auto opened = gateway::endpoint_connection::Connect(
+        host.io, lost.address, kCrashProbeTimeout, yield);
+    const bool refused =
+        !opened && host.time.now() - begun < kCrashProbeTimeout;
+    if (!refused) return;
+    host.crashes.RecordCrash(lost.fingerprint);
+    host.log.Write("engine_crashed", {{"engine", lost.engine.value()},
+                                      {"address", lost.address},
+                                      {"request", lost.request.value()},
+                                      {"fingerprint", lost.fingerprint},
+                                      {"parts", PartsText(lost.parts)},
+                                      {"events", std::to_string(lost.events)}});
+  });
 }
 
 send_result relayed_request::SendTo(const endpoint_id& id) {
@@ -146,6 +171,7 @@
   first_answer_.reset();
   first_part_at_.reset();
   events_after_first_part_ = 0;
+  events_forwarded_ = 0;
   stream_broken_ = false;
   last_detail_.clear();
   misdirected_ = false;
@@ -287,8 +313,10 @@
     }
     last_event_at_ = now;
     const std::string events = pending.substr(0, complete);
+    const int event_count = CountEvents(events);
+    events_forwarded_ += event_count;
     if (first_part_at_) {
-      events_after_first_part_ += CountEvents(events);
+      events_after_first_part_ += event_count;
     } else {
       first_part_at_ = now;
     }
