serving: the expected time of a request comes from comparable whole answers

Change: only whole answers count, at least eight comparable ones (those that stated at least half of the tokens), from a route observed for as long as the process still lives. Requests that may outlast the process are accepted for 2 s instead of 2.5 s, since the stop signal may be handled late and the platform excuses only what was sent within 3 s.

The interface changed, so the older tests were rewritten with the same bounds.

--- a/packages/edge/request_relay.cpp
+++ b/packages/edge/request_relay.cpp
@@ -319,11 +319,11 @@
 void relayed_request::End(const std::string& outcome, int status) {
   const auto total = host_.time.now() - received_at_;
   host_.metrics.RecordEnd(RouteKind(), outcome, total);
-  if (sends_ > 0) {
-    const auto first_answer =
-        first_forwarded_at_ ? *first_forwarded_at_ - received_at_ : total;
-    host_.stop.OnEnded(route_->name, first_answer, total - first_answer,
-                       caller_.output_tokens);
+  if (first_forwarded_at_ &&
+      sink_.progress() == gateway::response_progress::kComplete) {
+    const auto first_answer = *first_forwarded_at_ - received_at_;
+    host_.stop.OnCompleted(route_->name, {first_answer, total - first_answer,
+                                          caller_.output_tokens});
   }
   const auto age = host_.freshness.Age();
   const auto position = sink_.position();
--- a/packages/serving/stop_admission.cpp
+++ b/packages/serving/stop_admission.cpp
@@ -3,25 +3,27 @@
 #include <algorithm>
 
 namespace bluebell::serving {
+namespace {
 
-void stop_admission::OnEnded(const std::string& route,
-                             clock::duration first_answer, clock::duration rest,
-                             std::optional<std::int64_t> output_tokens) {
+// The tokens that a caller stated, if they can be used as a measure.
+std::optional<double> Size(std::optional<std::int64_t> output_tokens) {
+  if (!output_tokens || *output_tokens <= 0) return std::nullopt;
+  return static_cast<double>(*output_tokens);
+}
+
+}  // namespace
+
+void stop_admission::OnCompleted(const std::string& route,
+                                 const completed_request& request) {
   const auto now = clock_.now();
   auto& history = routes_[route];
-  const auto age = now - history.window_begin;
-  if (age >= kWindow) {
-    history.previous = age < 2 * kWindow ? history.current : longest_times();
-    history.current = {};
-    history.window_begin = now;
-  }
-  auto& longest = history.current;
-  longest.first_answer = std::max(longest.first_answer, first_answer);
-  longest.rest = std::max(longest.rest, rest);
-  if (output_tokens && *output_tokens > 0) {
-    longest.rest_per_token =
-        std::max(longest.rest_per_token, rest / *output_tokens);
+  auto& samples = history.samples;
+  if (samples.empty() || now - samples.back().at > kMaxSampleAge) {
+    samples.clear();
+    history.since = now;
   }
+  samples.push_back({now, request});
+  if (samples.size() > kMaxSamples) samples.pop_front();
 }
 
 void stop_admission::Begin(clock::time_point process_end) {
@@ -38,25 +40,34 @@
   const auto left = process_end_ - now;
   if (time_limit <= left) return true;
   if (now - *begun_ >= kUncertainPeriod) return false;
-  const auto expected = ExpectedTime(route, output_tokens);
+  // A request that takes as long as `left` is seen only after that time.
+  const auto expected = ExpectedTime(route, output_tokens, left);
   return expected && kMargin * *expected <= left;
 }
 
 std::optional<clock::duration> stop_admission::ExpectedTime(
-    const std::string& route, std::optional<std::int64_t> output_tokens) const {
+    const std::string& route, std::optional<std::int64_t> output_tokens,
+    clock::duration observed) const {
   const auto found = routes_.find(route);
   if (found == routes_.end()) return std::nullopt;
-  const auto& history = found->second;
-  if (clock_.now() - history.window_begin >= 2 * kWindow) return std::nullopt;
-  const auto& current = history.current;
-  const auto& previous = history.previous;
-  const auto first_answer =
-      std::max(current.first_answer, previous.first_answer);
-  if (!output_tokens) {
-    return first_answer + std::max(current.rest, previous.rest);
+  const auto now = clock_.now();
+  if (now - found->second.since < observed) return std::nullopt;
+  const auto size = Size(output_tokens);
+  clock::duration longest{0};
+  int comparable = 0;
+  for (const auto& [at, request] : found->second.samples) {
+    if (now - at > kMaxSampleAge) continue;
+    const auto other = Size(request.output_tokens);
+    // Scaling up a much smaller request would also scale its delays.
+    const double scale = size && other ? *size / *other : 1;
+    if (scale > 2) continue;
+    ++comparable;
+    longest = std::max(longest, request.first_answer +
+                                    std::chrono::duration_cast<clock::duration>(
+                                        scale * request.rest));
   }
-  return first_answer + *output_tokens * std::max(current.rest_per_token,
-                                                  previous.rest_per_token);
+  if (comparable < kMinSamples) return std::nullopt;
+  return longest;
 }
 
 }  // namespace bluebell::serving
--- a/packages/serving/stop_admission.h
+++ b/packages/serving/stop_admission.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -9,6 +10,16 @@
 
 namespace bluebell::serving {
 
+/// A request that was answered in full.
+struct completed_request {
+  /// From its arrival to the answer or the first event.
+  clock::duration first_answer{0};
+  /// From there to its end.
+  clock::duration rest{0};
+  /// Maximum number of output tokens that the caller stated.
+  std::optional<std::int64_t> output_tokens;
+};
+
 /// Decides which requests a stopping host still accepts.
 ///
 /// Load pattern: hosts are stopped one after the other under load, while
@@ -23,11 +34,7 @@
 
   explicit stop_admission(const clock& source) : clock_(source) {}
 
-  /// Records a request on `route` that has ended. `first_answer`: from its
-  /// arrival to the answer or the first event; `rest`: from there to its end.
-  /// `output_tokens`: the maximum that the caller stated, if any.
-  void OnEnded(const std::string& route, clock::duration first_answer,
-               clock::duration rest, std::optional<std::int64_t> output_tokens);
+  void OnCompleted(const std::string& route, const completed_request& request);
   /// The host stops now, and its process ends at `process_end`.
   void Begin(clock::time_point process_end);
   /// When the host began to stop; none while it does not.
@@ -38,32 +45,33 @@
                std::optional<std::int64_t> output_tokens) const;
 
  private:
-  // Requests that may outlast the process are accepted for this long, which
-  // covers the callers whose cached addresses have not expired.
-  static constexpr std::chrono::milliseconds kUncertainPeriod{2500};
+  // Requests that may outlast the process are accepted for this long. Beyond 3
+  // seconds the platform expects every accepted request to be answered, and the
+  // stop signal may be handled late.
+  static constexpr std::chrono::milliseconds kUncertainPeriod{2000};
   // Margin on the longest time expected.
   static constexpr double kMargin = 1.25;
-  // The longest times of the last one to two windows are known.
-  static constexpr std::chrono::seconds kWindow{15};
+  static constexpr std::chrono::seconds kMaxSampleAge{30};
+  static constexpr std::size_t kMaxSamples = 128;
+  // With fewer comparable requests the time is unknown.
+  static constexpr int kMinSamples = 8;
 
-  // Longest times of recent requests on one route.
-  struct longest_times {
-    clock::duration first_answer{0};
-    clock::duration rest{0};
-    /// `rest` per output token, of requests that state their tokens.
-    clock::duration rest_per_token{0};
+  struct sample {
+    clock::time_point at;
+    completed_request request;
   };
   struct route_history {
-    clock::time_point window_begin;
-    longest_times current;
-    longest_times previous;
+    /// Time of the first sample.
+    clock::time_point since;
+    std::deque<sample> samples;
   };
 
-  // Longest time that a request is expected to take; none if there was none on
-  // its route recently.
+  // Longest time that a request is expected to take, from those on its route
+  // that stated at least half of its tokens; none if these are too few or were
+  // observed for less than `observed`.
   std::optional<clock::duration> ExpectedTime(
-      const std::string& route,
-      std::optional<std::int64_t> output_tokens) const;
+      const std::string& route, std::optional<std::int64_t> output_tokens,
+      clock::duration observed) const;
 
   const clock& clock_;
   std::map<std::string, route_history> routes_;
--- a/packages/serving/tests/stop_admission_test.cpp
+++ b/packages/serving/tests/stop_admission_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <limits>
 #include <random>
 
 #include "base/manual_clock.h"
@@ -14,6 +15,14 @@
 
 class stop_admission_fixture : public testing::Test {
  protected:
+  /// Completes `count` requests of the same kind, one every 100 ms.
+  void Complete(const std::string& route, const completed_request& request,
+                int count = 100) {
+    for (int i = 0; i < count; ++i) {
+      clock_.Advance(milliseconds(100));
+      admission_.OnCompleted(route, request);
+    }
+  }
   void Stop() { admission_.Begin(clock_.now() + milliseconds(7300)); }
 
   manual_clock clock_;
@@ -27,16 +36,16 @@
 // Guards against a request that is accepted late in a stop and cut off at its
 // end.
 TEST_F(stop_admission_fixture, RequestThatMayOutlastTheProcessIsRefused) {
+  Complete("chat", {seconds(1), seconds(5), {}});
   Stop();
   EXPECT_FALSE(admission_.Accepts("report", seconds(12), {}));
-  admission_.OnEnded("report", seconds(6), {}, {});
-  EXPECT_FALSE(admission_.Accepts("report", seconds(12), {}));
+  EXPECT_FALSE(admission_.Accepts("chat", seconds(12), {}));
 }
 
 // Guards against refusals that cost callers an attempt although the host has
 // the time to serve them.
 TEST_F(stop_admission_fixture, RequestThatEndsInTimeIsAccepted) {
-  admission_.OnEnded("chat", seconds(2), {}, {});
+  Complete("chat", {seconds(1), seconds(1), {}});
   Stop();
   EXPECT_TRUE(admission_.Accepts("order", milliseconds(800), {}));
   EXPECT_TRUE(admission_.Accepts("chat", seconds(10), {}));
@@ -44,38 +53,86 @@
   EXPECT_TRUE(admission_.Accepts("order", milliseconds(800), {}));
 }
 
-// Guards against a stream that takes longer than any before it: late in the
-// stop a time limit is required that ends before the process.
+// Guards against a stream that takes longer than any before it, and against a
+// stop signal that is handled late: late in the stop a time limit is required
+// that ends before the process.
 TEST_F(stop_admission_fixture, LateRequestNeedsATimeLimitWithinTheStop) {
-  admission_.OnEnded("chat", milliseconds(500), {}, {});
+  Complete("chat", {milliseconds(100), milliseconds(400), {}});
   Stop();
-  clock_.Advance(milliseconds(2600));
+  clock_.Advance(milliseconds(2100));
   EXPECT_FALSE(admission_.Accepts("chat", seconds(10), {}));
-  EXPECT_TRUE(admission_.Accepts("chat", seconds(4), {}));
-  clock_.Advance(milliseconds(700));
+  EXPECT_TRUE(admission_.Accepts("chat", seconds(5), {}));
+  clock_.Advance(milliseconds(1200));
   EXPECT_FALSE(admission_.Accepts("order", milliseconds(10), {}));
 }
 
+// Guards against a stream of unknown length that is accepted on the evidence of
+// a few short ones.
+TEST_F(stop_admission_fixture, FewRequestsAreNoEvidence) {
+  Complete("chat", {milliseconds(5), milliseconds(0), {}}, 1);
+  clock_.Advance(seconds(10));
+  Complete("chat", {milliseconds(5), milliseconds(0), {}}, 6);
+  Stop();
+  EXPECT_FALSE(admission_.Accepts("chat", seconds(10), {}));
+}
+
+// Guards against a host that has just started and has seen only the requests
+// that ended quickly.
+TEST_F(stop_admission_fixture, ShortHistoryIsNoEvidence) {
+  Complete("chat", {milliseconds(100), milliseconds(400), {}}, 20);
+  Stop();
+  EXPECT_FALSE(admission_.Accepts("chat", seconds(10), {}));
+}
+
+// Guards against an estimate per token where earlier requests stated none.
+TEST_F(stop_admission_fixture, RequestsWithoutTokensAreCompared) {
+  Complete("chat", {milliseconds(100), seconds(9), {}});
+  Stop();
+  EXPECT_FALSE(admission_.Accepts("chat", seconds(10), 500));
+}
+
+// Guards against one delayed short stream that makes every stream look slow.
+TEST_F(stop_admission_fixture, DelayOfAShortStreamIsNotScaledUp) {
+  Complete("chat", {milliseconds(50), milliseconds(2000), 400});
+  Complete("chat", {milliseconds(50), milliseconds(2000), 6}, 10);
+  Stop();
+  EXPECT_TRUE(admission_.Accepts("chat", seconds(10), 400));
+}
+
+// Guards against undefined arithmetic on tokens that a caller may state.
+TEST_F(stop_admission_fixture, ExtremeTokenCountsAreHandled) {
+  Complete("chat", {milliseconds(50), milliseconds(500), 10});
+  Stop();
+  const auto largest = std::numeric_limits<std::int64_t>::max();
+  EXPECT_FALSE(admission_.Accepts("chat", seconds(10), largest));
+  EXPECT_TRUE(admission_.Accepts("chat", seconds(10), -largest));
+}
+
 // Guards against one slow stream that makes a host refuse all of its kind for
 // the rest of its life, and against an estimate that expires too early.
 TEST_F(stop_admission_fixture, LongestRequestExpires) {
-  admission_.OnEnded("chat", seconds(9), {}, {});
-  clock_.Advance(seconds(14));
-  admission_.OnEnded("chat", seconds(1), {}, {});
-  clock_.Advance(seconds(2));
-  admission_.OnEnded("chat", seconds(1), {}, {});
+  Complete("chat", {seconds(9), seconds(0), {}}, 10);
+  clock_.Advance(seconds(15));
+  Complete("chat", {seconds(1), seconds(0), {}}, 10);
   Stop();
   EXPECT_FALSE(admission_.Accepts("chat", seconds(20), {}));
-  clock_.Advance(seconds(31));
-  admission_.OnEnded("chat", seconds(1), {}, {});
+  clock_.Advance(seconds(16));
+  Complete("chat", {seconds(1), seconds(0), {}}, 10);
   Stop();
   EXPECT_TRUE(admission_.Accepts("chat", seconds(20), {}));
 }
 
+struct stream_mix {
+  /// Share of the streams that are delayed by up to two seconds.
+  double delayed_share;
+};
+
+class stop_replay : public testing::TestWithParam<stream_mix> {};
+
 // Replays streams whose stated size is widely spread, at engines of different
 // pace, before and during a stop, and counts those that the process would cut
 // off.
-TEST_F(stop_admission_fixture, StreamsOfSpreadLengthAreRarelyCutOff) {
+TEST_P(stop_replay, StreamsOfSpreadLengthAreRarelyCutOff) {
   int accepted = 0;
   int cut = 0;
   int refused = 0;
@@ -85,31 +142,30 @@
     std::uniform_real_distribution<double> used_share(0.3, 1);
     std::uniform_real_distribution<double> token_ms(4, 9);
     std::uniform_int_distribution<int> first_ms(20, 400);
+    std::uniform_int_distribution<int> delay_ms(500, 2000);
+    std::bernoulli_distribution is_delayed(GetParam().delayed_share);
     manual_clock clock;
     stop_admission admission(clock);
-    struct stream {
-      std::int64_t tokens;
-      milliseconds first_answer;
-      milliseconds rest;
-    };
     const auto draw = [&] {
       const auto tokens =
           static_cast<std::int64_t>(std::min(stated_tokens(random), 640.0)) + 1;
       const double used = static_cast<double>(tokens) * used_share(random);
-      return stream{tokens, milliseconds(first_ms(random)),
-                    milliseconds(static_cast<int>(used * token_ms(random)))};
+      const int delay = is_delayed(random) ? delay_ms(random) : 0;
+      return completed_request{
+          milliseconds(first_ms(random)),
+          milliseconds(delay + static_cast<int>(used * token_ms(random))),
+          tokens};
     };
     for (int i = 0; i < 300; ++i) {
       clock.Advance(milliseconds(70));
-      const auto ended = draw();
-      admission.OnEnded("chat", ended.first_answer, ended.rest, ended.tokens);
+      admission.OnCompleted("chat", draw());
     }
     const auto end = clock.now() + milliseconds(7300);
     admission.Begin(end);
     for (int i = 0; i < 35; ++i) {
       clock.Advance(milliseconds(70));
       const auto asked = draw();
-      if (!admission.Accepts("chat", seconds(10), asked.tokens)) {
+      if (!admission.Accepts("chat", seconds(10), asked.output_tokens)) {
         ++refused;
         continue;
       }
@@ -121,5 +177,9 @@
   EXPECT_GT(accepted, 2 * refused);
 }
 
+INSTANTIATE_TEST_SUITE_P(delays, stop_replay,
+                         testing::Values(stream_mix{0}, stream_mix{0.01},
+                                         stream_mix{0.05}));
+
 }  // namespace
 }  // namespace bluebell::serving
