edge: a stop does not wait for the store before it counts its time

Cause: giving up the placement lease and the entry in the store's list, up to three calls with several attempts of 700 ms each, ran before the loop that ends the process in time.

Change: both run beside that loop; an idle host still waits for them, a host at the end of its time does not.

stopping_host.SlowStoreDoesNotDelayTheEnd failed before (no answer, process not stopped 8.4 s after the signal) and passes.

--- a/packages/edge/edge_host.cpp
+++ b/packages/edge/edge_host.cpp
@@ -122,6 +122,8 @@
   std::unique_ptr<http_server> metrics;
   std::function<void()> on_stopped;
   bool stopping = false;
+  /// The placement lease and the entry in the store's list are given up.
+  bool signed_off = false;
 };
 
 result<std::unique_ptr<edge_host>> edge_host::Create(
@@ -246,16 +248,21 @@
   host->callers->CloseAfterResponses();
   host->exchange->SendToEveryHost();
   const auto accepts_until = begun + serving::stop_admission::kAcceptPeriod;
-  gateway::SpawnTask(state.io, [host, accepts_until, last](auto yield) {
+  gateway::SpawnTask(state.io, [host](auto yield) {
     auto& state = host->state;
     host->placement->Resign(yield);
     const auto removed = state.store.RemoveHost(state.settings.id, yield);
     if (!removed) {
       state.log.Write("host_not_removed", {{"detail", removed.error().detail}});
     }
+    host->signed_off = true;
+  });
+  gateway::SpawnTask(state.io, [host, accepts_until, last](auto yield) {
+    auto& state = host->state;
     while (state.time.now() < last) {
       const bool refuses = state.time.now() >= accepts_until;
-      if (refuses && host->callers->open_requests() == 0) break;
+      if (refuses && host->signed_off && host->callers->open_requests() == 0)
+        break;
       Pause(state.io, kStopPollInterval, yield);
     }
     // An engine may not have begun to answer; its caller learns that the answer
