daemon: a hosted process ends without unwinding suspended requests

Cause: the host was destroyed before the context; the context then unwound the suspended requests, whose destructors use the host's state and clock. The other order fails too, since the host's sockets and timers belong to the context.

Change: RunHosted ends the process once the stop is complete.

--- a/packages/daemon/program/bluebellraild.cpp
+++ b/packages/daemon/program/bluebellraild.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
+#include <cstdlib>
 #include <functional>
 #include <iostream>
 
@@ -77,7 +78,10 @@
   };
   await_reload();
   context.run();
-  return kDone;
+  // Requests that are still suspended refer to the host, the clock and the
+  // context; no order of destruction suits all of them.
+  std::cout.flush();
+  std::_Exit(kDone);
 }
 
 void PrintErrors(const std::vector<setting_error>& errors) {
--- /dev/null
+++ b/packages/daemon/tests/hosted_stop_test.cpp
@@ -0,0 +1,63 @@
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <thread>
+
+#include "test_processes.h"
+
+namespace bluebell::daemon {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Settings of a hosted entry host whose store does not answer.
+void WriteSettings(const std::string& file, const std::string& callers) {
+  std::ofstream(file) << "[host]\nid = host\nzone = z1\ncores = 1\n[listen]\n"
+                      << "callers = " << callers
+                      << "\nready = " << AllocateAddress()
+                      << "\ndirectory = " << AllocateAddress()
+                      << "\nmetrics = " << AllocateAddress()
+                      << "\ndigests = " << AllocateAddress()
+                      << "\n[store]\naddress = " << AllocateAddress()
+                      << "\n[bounds]\nkey_withdrawal_ms = 5000\n"
+                         "stop_grace_s = 4\nplacement_pause_ms = 3000\n"
+                         "quota_window_s = 8\nretry_window_s = 10\n"
+                         "retry_slack = 50\nretry_ratio = 0.2\n";
+}
+
+// Guards against memory that is used after it was freed when the process ends
+// with requests that wait: callers ask until the process is gone.
+TEST(hosted_stop, EndsCleanlyWithOpenRequests) {
+  // Freed memory is overwritten, so that its use shows.
+  ::setenv("MALLOC_PERTURB_", "165", 1);
+  const std::string callers = AllocateAddress();
+  const std::string settings =
+      testing::TempDir() + "/hosted-" + std::to_string(::getpid()) + ".ini";
+  WriteSettings(settings, callers);
+  child_process host(
+      {BLUEBELL_BIN_DIR "/bluebellraild", "--hosted", "--config", settings},
+      settings + ".log");
+  ASSERT_TRUE(
+      WaitUntil([&] { return Call(callers, "GET", "/").status == 503; }));
+  std::atomic<bool> ended = false;
+  std::vector<std::thread> clients;
+  for (int i = 0; i < 8; ++i) {
+    clients.emplace_back([&] {
+      while (!ended) Call(callers, "GET", "/", "", {}, seconds(1));
+    });
+  }
+  host.Signal(SIGTERM);
+  const int status = host.Wait(seconds(10));
+  ended = true;
+  for (auto& client : clients) client.join();
+  EXPECT_EQ(status, 0);
+  ::unsetenv("MALLOC_PERTURB_");
+}
+
+}  // namespace
+}  // namespace bluebell::daemon
--- a/packages/daemon/tests/test_processes.cpp
+++ b/packages/daemon/tests/test_processes.cpp
@@ -74,12 +74,6 @@
   std::atomic<int> next_{0};
 };
 
-// Returns a loopback address with an unused port of this process's block.
-std::string AllocateAddress() {
-  static port_block block;
-  return "127.0.0.1:" + std::to_string(block.Next());
-}
-
 std::string DecodeChunks(const std::string& encoded, bool& complete) {
   std::string body;
   std::size_t at = 0;
@@ -101,6 +95,11 @@
 
 }  // namespace
 
+std::string AllocateAddress() {
+  static port_block block;
+  return "127.0.0.1:" + std::to_string(block.Next());
+}
+
 child_process::child_process(const std::vector<std::string>& arguments,
                              const std::string& log_file) {
   posix_spawn_file_actions_t actions;
