edge, gateway: ends by a stop are logged as such, and the last answers get the time left

A resumed stream that waited for an engine when the process ended was logged as engine_lost, and a request that waited for a model as model_not_loaded; a connection that its caller closed within a request kept the phase serving. Now ended_for_stop, stopping and closing, as docs/OPERATIONS.md says.

The process left 150 ms for the answers to requests that are open at its end. It now waits until they are sent, at most 400 ms.

--- a/packages/edge/edge_host.cpp
+++ b/packages/edge/edge_host.cpp
@@ -23,9 +23,9 @@
 // The process exits this long before the platform would kill it.
 constexpr milliseconds kStopMargin{700};
 constexpr milliseconds kStopPollInterval{50};
-// Time before the exit in which the answers to requests that are still open are
-// sent.
-constexpr milliseconds kLastAnswersPeriod{150};
+// Maximum time before the exit in which the answers to requests that are still
+// open are sent.
+constexpr milliseconds kLastAnswersPeriod{400};
 // Limits health log lines to one per second and engine.
 constexpr milliseconds kHealthLogInterval{1000};
 
@@ -267,8 +267,10 @@
     }
     // An engine may not have begun to answer; its caller learns that the answer
     // is lost instead of waiting on a closed connection.
-    if (EndOpenRequests(state) > 0) {
-      Pause(state.io, kLastAnswersPeriod, yield);
+    EndOpenRequests(state);
+    const auto exit = state.time.now() + kLastAnswersPeriod;
+    while (host->callers->open_requests() > 0 && state.time.now() < exit) {
+      Pause(state.io, kStopPollInterval, yield);
     }
     LogOpenConnections(state, *host->callers);
     if (host->on_stopped) host->on_stopped();
--- a/packages/edge/request_relay.cpp
+++ b/packages/edge/request_relay.cpp
@@ -261,8 +261,13 @@
       sink_.SendResponse(*failed_answer_, yield_);
       return End("engine_failed", failed_answer_->status);
     }
+    if (ended_for_stop_) return Fail(504, "ended_for_stop");
     return Fail(expired_ ? 504 : 502, "engine_lost");
   }
+  if (ended_for_stop_) {
+    Refuse(503, "stopping", kRetryNow);
+    return;
+  }
   switch (choice.status) {
     case choice_status::kBusy:
       Refuse(503, "engines_busy", ToMilliseconds(choice.wait) + RetryJitter());
@@ -360,11 +365,10 @@
   relayed_request(host, received, sink, yield).Run();
 }
 
-std::size_t EndOpenRequests(edge_state& host) {
+void EndOpenRequests(edge_state& host) {
   // A copy: a request removes itself when it ends.
   const auto open = host.open_requests;
   for (auto* request : open) request->EndForStop();
-  return open.size();
 }
 
 }  // namespace bluebell::edge
--- a/packages/edge/request_relay.h
+++ b/packages/edge/request_relay.h
@@ -18,7 +18,7 @@
                   boost::asio::yield_context yield);
 
 /// Ends every open request because the process stops: one without an answer yet
-/// is answered as failed, a stream is broken off. Returns their number.
-std::size_t EndOpenRequests(edge_state& host);
+/// is answered as failed, a stream is broken off.
+void EndOpenRequests(edge_state& host);
 
 }  // namespace bluebell::edge
--- a/packages/gateway/http_server.cpp
+++ b/packages/gateway/http_server.cpp
@@ -372,7 +372,8 @@
     state_->on_request(request, writer, yield);
     --state_->open_requests;
     detector->Stop();
-    if (writer.progress() == response_progress::kComplete) {
+    if (writer.progress() == response_progress::kComplete ||
+        writer.caller_disconnected()) {
       status_.phase = connection_phase::kClosing;
     }
     return writer.reusable();
