--- a/packages/edge/edge_host.cpp
+++ b/packages/edge/edge_host.cpp
@@ -23,9 +23,9 @@
 // The process exits this long before the platform would kill it.
 constexpr milliseconds kStopMargin{700};
 constexpr milliseconds kStopPollInterval{50};
-// Time before the exit in which the answers to requests that are still open are
-// sent.
-constexpr milliseconds kLastAnswersPeriod{150};
+// Maximum time before the exit in which the answers to requests that are still
+// open are sent.
+constexpr milliseconds kLastAnswersPeriod{400};
 // Limits health log lines to one per second and engine.
 constexpr milliseconds kHealthLogInterval{1000};
 
@@ -122,6 +122,8 @@
   std::unique_ptr<http_server> metrics;
   std::function<void()> on_stopped;
   bool stopping = false;
+  /// The placement lease and the entry in the store's list are given up.
+  bool signed_off = false;
 };
 
 result<std::unique_ptr<edge_host>> edge_host::Create(
@@ -246,22 +248,29 @@
   host->callers->CloseAfterResponses();
   host->exchange->SendToEveryHost();
   const auto accepts_until = begun + serving::stop_admission::kAcceptPeriod;
-  gateway::SpawnTask(state.io, [host, accepts_until, last](auto yield) {
+  gateway::SpawnTask(state.io, [host](auto yield) {
     auto& state = host->state;
     host->placement->Resign(yield);
     const auto removed = state.store.RemoveHost(state.settings.id, yield);
     if (!removed) {
       state.log.Write("host_not_removed", {{"detail", removed.error().detail}});
     }
+    host->signed_off = true;
+  });
+  gateway::SpawnTask(state.io, [host, accepts_until, last](auto yield) {
+    auto& state = host->state;
     while (state.time.now() < last) {
       const bool refuses = state.time.now() >= accepts_until;
-      if (refuses && host->callers->open_requests() == 0) break;
+      if (refuses && host->signed_off && host->callers->open_requests() == 0)
+        break;
       Pause(state.io, kStopPollInterval, yield);
     }
     // An engine may not have begun to answer; its caller learns that the answer
     // is lost instead of waiting on a closed connection.
-    if (EndOpenRequests(state) > 0) {
-      Pause(state.io, kLastAnswersPeriod, yield);
+    EndOpenRequests(state);
+    const auto exit = state.time.now() + kLastAnswersPeriod;
+    while (host->callers->open_requests() > 0 && state.time.now() < exit) {
+      Pause(state.io, kStopPollInterval, yield);
     }
     LogOpenConnections(state, *host->callers);
     if (host->on_stopped) host->on_stopped();
