--- a/packages/edge/request_relay.cpp
+++ b/packages/edge/request_relay.cpp
@@ -261,8 +261,13 @@
       sink_.SendResponse(*failed_answer_, yield_);
       return End("engine_failed", failed_answer_->status);
     }
+    if (ended_for_stop_) return Fail(504, "ended_for_stop");
     return Fail(expired_ ? 504 : 502, "engine_lost");
   }
+  if (ended_for_stop_) {
+    Refuse(503, "stopping", kRetryNow);
+    return;
+  }
   switch (choice.status) {
     case choice_status::kBusy:
       Refuse(503, "engines_busy", ToMilliseconds(choice.wait) + RetryJitter());
@@ -319,11 +324,11 @@
 void relayed_request::End(const std::string& outcome, int status) {
   const auto total = host_.time.now() - received_at_;
   host_.metrics.RecordEnd(RouteKind(), outcome, total);
-  if (sends_ > 0) {
-    const auto first_answer =
-        first_forwarded_at_ ? *first_forwarded_at_ - received_at_ : total;
-    host_.stop.OnEnded(route_->name, first_answer, total - first_answer,
-                       caller_.output_tokens);
+  if (first_forwarded_at_ &&
+      sink_.progress() == gateway::response_progress::kComplete) {
+    const auto first_answer = *first_forwarded_at_ - received_at_;
+    host_.stop.OnCompleted(route_->name, {first_answer, total - first_answer,
+                                          caller_.output_tokens});
   }
   const auto age = host_.freshness.Age();
   const auto position = sink_.position();
@@ -360,11 +365,10 @@
   relayed_request(host, received, sink, yield).Run();
 }
 
-std::size_t EndOpenRequests(edge_state& host) {
+void EndOpenRequests(edge_state& host) {
   // A copy: a request removes itself when it ends.
   const auto open = host.open_requests;
   for (auto* request : open) request->EndForStop();
-  return open.size();
 }
 
 }  // namespace bluebell::edge
