serving, edge: prompt parts that crash engines are quarantined over all hosts

Cause: the quarantine identified a request by method, path, account and body. These requests differ in all of that and share one part of the prompt, so that each crash counted for a new fingerprint. Class of fault: a guard against a repeated cause that recognizes only literal repetition.

Change: part_quarantine blames the parts of the requests that a crashed engine had not yet answered; an answer that was sent later clears a part. Hosts exchange evidence in their digests and merge it, so that crashes add up over hosts and restarted hosts learn it.

Ruled out: counting crashes per part without answers, which refuses the parts that sound requests share; an engine's crash counted per host, which would count one crash several times.

--- a/packages/edge/digest_exchange.cpp
+++ b/packages/edge/digest_exchange.cpp
@@ -148,6 +148,7 @@
   for (const auto& [fingerprint, crashes] : digest->crashes) {
     host_.crashes.OnNotice(digest->host, fingerprint, crashes);
   }
+  host_.parts.OnEvidence(digest->parts);
   if (digest->leaving) host_.fleet.OnPeerGone(digest->host);
   demand_[digest->host] = digest->demand;
   if (digest->hello)
@@ -313,6 +314,7 @@
       std::chrono::duration_cast<milliseconds>(host_.quota.Age()).count();
   if (notices) digest.notices = notices();
   digest.crashes = host_.crashes.OwnCrashes();
+  digest.parts = host_.parts.Evidence();
   return digest;
 }
 
--- a/packages/edge/edge_host.cpp
+++ b/packages/edge/edge_host.cpp
@@ -26,8 +26,8 @@
 // Maximum time before the exit in which the answers to requests that are still
 // open are sent.
 constexpr milliseconds kLastAnswersPeriod{400};
-// Limits health log lines to one per second and engine.
-constexpr milliseconds kHealthLogInterval{1000};
+// Limits these log lines to one per second and engine or part.
+constexpr milliseconds kChangeLogInterval{1000};
 
 http_server::error_handler RejectMalformed(const request_dialect& dialect) {
   return [&dialect](problem_code code, const std::string&) {
@@ -88,10 +88,11 @@
        {"closing", std::to_string(counts[connection_phase::kClosing])}});
 }
 
-// Logs engines that become slow or start to fail, and their recovery.
-void LogHealthChanges(edge_state& state, boost::asio::yield_context yield) {
+// Logs engines that become slow or start to fail, their recovery, and prompt
+// parts that are quarantined.
+void LogChanges(edge_state& state, boost::asio::yield_context yield) {
   while (true) {
-    Pause(state.io, kHealthLogInterval, yield);
+    Pause(state.io, kChangeLogInterval, yield);
     for (const auto& change : state.fleet.TakeHealthChanges()) {
       state.log.Write("engine_judged",
                       {{"engine", change.engine.value()},
@@ -99,6 +100,9 @@
                        {"pace", fmt::format("{:.2f}", change.step_time_ratio)},
                        {"failing", fmt::format("{:.2f}", change.error_rate)}});
     }
+    for (const auto& part : state.parts.TakeQuarantined()) {
+      state.log.Write("part_quarantined", {{"part", part.value()}});
+    }
   }
 }
 
@@ -217,8 +221,8 @@
                      [host](auto yield) { host->placement->RunLease(yield); });
   gateway::SpawnTask(
       context, [host](auto yield) { host->placement->RunPlanning(yield); });
-  gateway::SpawnTask(
-      context, [host](auto yield) { LogHealthChanges(host->state, yield); });
+  gateway::SpawnTask(context,
+                     [host](auto yield) { LogChanges(host->state, yield); });
   host->state.log.Write("host_started",
                         {{"incarnation", host->state.incarnation},
                          {"zone", settings.zone.value()},
--- a/packages/edge/edge_state.h
+++ b/packages/edge/edge_state.h
@@ -19,6 +19,7 @@
 #include "serving/engine_fleet.h"
 #include "serving/host_directory.h"
 #include "serving/key_freshness.h"
+#include "serving/part_quarantine.h"
 #include "serving/placement_lease.h"
 #include "serving/service_retry_budget.h"
 #include "serving/serving_config.h"
@@ -56,7 +57,8 @@
         placement_lease(source, settings.id, incarnation,
                         settings.placement_pause),
         stop(source),
-        crashes(source, kCrashRetention, [](const std::string&, int) {}) {}
+        crashes(source, kCrashRetention, [](const std::string&, int) {}),
+        parts(source, seed) {}
 
   /// A request that crashes engines is rejected for this long.
   static constexpr std::chrono::seconds kCrashRetention{60};
@@ -105,6 +107,7 @@
   serving::placement_lease placement_lease;
   serving::stop_admission stop;
   routing::quarantine crashes;
+  serving::part_quarantine parts;
   /// Called when a new configuration takes effect.
   std::function<void()> on_config;
 };
--- a/packages/edge/relayed_request.h
+++ b/packages/edge/relayed_request.h
@@ -61,6 +61,8 @@
   void AwaitConfig();
   // Hash that identifies repetitions of the same request.
   std::string Fingerprint() const;
+  // Records that the engine has survived writing the answer.
+  void OnEngineSurvived();
   // Records a crash, which the request may have caused, if the engine's address
   // refuses connections right after the request was lost.
   void DetectCrash(const std::string& address);
@@ -150,6 +152,8 @@
   const serving::account* account_ = nullptr;
   bool is_model_ = false;
   std::string fingerprint_;
+  /// It was admitted to test a quarantined part of its prompt.
+  bool tests_part_ = false;
   serving::engine_requirements requirements_;
   clock::time_point deadline_;
   bool caller_gone_ = false;
@@ -181,6 +185,8 @@
   std::optional<clock::time_point> first_part_at_;
   int events_after_first_part_ = 0;
   int events_forwarded_ = 0;
+  /// The engine of the current send has survived writing the answer.
+  bool engine_survived_ = false;
   bool reused_ = false;
   /// Whether the send had a connection, so that it could reach the engine.
   bool reached_engine_ = false;
--- a/packages/edge/request_relay.cpp
+++ b/packages/edge/request_relay.cpp
@@ -77,6 +77,11 @@
     if (account_ == nullptr) return Refuse(401, "unknown_key", std::nullopt);
   }
   deadline_ = received_at_ + time_limit;
+  const auto verdict = host_.parts.Admit(caller_.shared_parts);
+  if (verdict == serving::part_verdict::kRefused) {
+    return Refuse(503, "crashes_engines", std::nullopt);
+  }
+  tests_part_ = verdict == serving::part_verdict::kTrial;
   requirements_.service = ChooseService();
   requirements_.model = caller_.model;
   requirements_.adapter = caller_.adapter;
@@ -168,6 +173,9 @@
       EndWithoutEngine(choice);
       return;
     }
+    if (!tests_part_ && host_.parts.IsQuarantined(caller_.shared_parts)) {
+      return Fail(502, "crashes_engines");
+    }
     const send_result result = SendTo(choice.engine);
     LogSend(choice.engine, result);
     switch (result) {
--- a/packages/edge/request_send.cpp
+++ b/packages/edge/request_send.cpp
@@ -31,6 +31,10 @@
 constexpr int kTopUrgency = 2;
 // A connection is refused within a round trip.
 constexpr milliseconds kCrashProbeTimeout{200};
+// An engine that has written this many events of a stream for this long does
+// not crash by its request.
+constexpr int kSurvivalEvents = 5;
+constexpr milliseconds kSurvivalTime{300};
 // Minimum number of events from which the step time is measured.
 constexpr int kMinStepTimeEvents = 3;
 // Limits on what one request holds in memory when an engine sends bytes without
@@ -44,7 +48,10 @@
   endpoint_id engine;
   std::string address;
   std::string fingerprint;
+  /// Parts of its prompt; empty if the engine had survived its answer.
   std::vector<prompt_part_id> parts;
+  clock::time_point sent_at;
+  clock::time_point lost_at;
   /// Events of its stream that were forwarded from that engine.
   int events = 0;
 };
@@ -80,8 +87,15 @@
 
 void relayed_request::DetectCrash(const std::string& address) {
   edge_state& host = host_;
-  lost_request lost{caller_.id,   last_engine_,         address,
-                    fingerprint_, caller_.shared_parts, events_forwarded_};
+  lost_request lost{
+      caller_.id,
+      last_engine_,
+      address,
+      fingerprint_,
+      engine_survived_ ? std::vector<prompt_part_id>() : caller_.shared_parts,
+      sent_at_,
+      host_.time.now(),
+      events_forwarded_};
   gateway::SpawnTask(host_.io, [&host, lost = std::move(lost)](auto yield) {
     const auto begun = host.time.now();
     const auto opened = gateway::endpoint_connection::Connect(
@@ -90,6 +104,7 @@
         !opened && host.time.now() - begun < kCrashProbeTimeout;
     if (!refused) return;
     host.crashes.RecordCrash(lost.fingerprint);
+    host.parts.OnCrash(lost.parts, lost.engine, lost.sent_at, lost.lost_at);
     host.log.Write("engine_crashed", {{"engine", lost.engine.value()},
                                       {"address", lost.address},
                                       {"request", lost.request.value()},
@@ -172,6 +187,7 @@
   first_part_at_.reset();
   events_after_first_part_ = 0;
   events_forwarded_ = 0;
+  engine_survived_ = false;
   stream_broken_ = false;
   last_detail_.clear();
   misdirected_ = false;
@@ -233,12 +249,18 @@
     last_detail_ = "status " + std::to_string(failed_answer_->status);
     return send_result::kFailedAnswer;
   }
+  OnEngineSurvived();
   RecordFirstAnswer();
   status_ = answer.status;
   sink_.SendResponse(answer, yield_);
   return send_result::kDelivered;
 }
 
+void relayed_request::OnEngineSurvived() {
+  engine_survived_ = true;
+  host_.parts.OnAnswered(caller_.shared_parts, sent_at_);
+}
+
 send_result relayed_request::OnConnectionLost() {
   ++runs_;
   if (caller_gone_) return send_result::kCallerGone;
@@ -325,12 +347,17 @@
       const auto event = LastEventId(events);
       if (!event.empty()) last_event_ = event;
     }
+    if (!engine_survived_ && events_forwarded_ >= kSurvivalEvents &&
+        now - *first_part_at_ >= kSurvivalTime) {
+      OnEngineSurvived();
+    }
     sink_.SendChunk(events, yield_);
     if (caller_gone_ || sink_.caller_disconnected()) {
       lease.connection->Close();
       return send_result::kCallerGone;
     }
   }
+  OnEngineSurvived();
   ReturnConnection(id, lease, answer_info);
   status_ = head.status;
   if (!sink_.started()) {
--- a/packages/serving/host_digest.cpp
+++ b/packages/serving/host_digest.cpp
@@ -10,12 +10,14 @@
 // Logarithms are encoded as integers, in thousandths.
 constexpr double kLogScale = 1000;
 
+std::int64_t ToMilliseconds(clock::duration span) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+}
+
 json EncodeNotice(const residency_notice& notice) {
-  const auto age =
-      std::chrono::duration_cast<std::chrono::milliseconds>(notice.age);
   return json::array({notice.engine.value(), notice.started_ms,
                       notice.model.value(), notice.adapter.value(),
-                      notice.present, age.count()});
+                      notice.present, ToMilliseconds(notice.age)});
 }
 
 residency_notice DecodeNotice(const json& row) {
@@ -99,6 +101,35 @@
   return report;
 }
 
+json EncodePart(const part_evidence& evidence) {
+  json crashes = json::array();
+  for (const auto& seen : evidence.crashes) {
+    crashes.push_back(
+        json::array({seen.engine.value(), ToMilliseconds(seen.age),
+                     ToMilliseconds(seen.sent_age)}));
+  }
+  json row = json::array({evidence.part.value(), std::move(crashes)});
+  if (evidence.answered_age) {
+    row.push_back(ToMilliseconds(*evidence.answered_age));
+  }
+  return row;
+}
+
+part_evidence DecodePart(const json& row) {
+  using std::chrono::milliseconds;
+  part_evidence evidence;
+  evidence.part = prompt_part_id(row.at(0).get<std::string>());
+  for (const auto& seen : row.at(1)) {
+    evidence.crashes.push_back({endpoint_id(seen.at(0).get<std::string>()),
+                                milliseconds(seen.at(1).get<std::int64_t>()),
+                                milliseconds(seen.at(2).get<std::int64_t>())});
+  }
+  if (row.size() > 2) {
+    evidence.answered_age = milliseconds(row.at(2).get<std::int64_t>());
+  }
+  return evidence;
+}
+
 // Adapter requests, notices and crashes, in every digest that has some.
 void EncodeMessages(const host_digest& digest, json& out) {
   if (!digest.adapter_requests.empty()) {
@@ -115,6 +146,10 @@
     }
   }
   if (!digest.crashes.empty()) out["crashes"] = digest.crashes;
+  if (!digest.parts.empty()) {
+    json& parts = out["parts"] = json::array();
+    for (const auto& entry : digest.parts) parts.push_back(EncodePart(entry));
+  }
 }
 
 void DecodeState(const json& in, host_digest& digest) {
@@ -186,6 +221,11 @@
     if (in.contains("crashes")) {
       digest.crashes = in["crashes"].get<std::map<std::string, int>>();
     }
+    if (in.contains("parts")) {
+      for (const auto& row : in["parts"]) {
+        digest.parts.push_back(DecodePart(row));
+      }
+    }
     return digest;
   } catch (const json::exception& failure) {
     return Fail(error_code::kInvalidArgument, failure.what());
--- a/packages/serving/host_digest.h
+++ b/packages/serving/host_digest.h
@@ -10,6 +10,7 @@
 #include "base/ids.h"
 #include "base/result.h"
 #include "serving/engine_fleet.h"
+#include "serving/part_quarantine.h"
 #include "serving/shared_quota.h"
 
 namespace bluebell::serving {
@@ -68,6 +69,8 @@
   std::vector<residency_notice> notices;
   /// Crashes of endpoints seen by this host, by fingerprint of the request.
   std::map<std::string, int> crashes;
+  /// Prompt parts that may crash engines.
+  std::vector<part_evidence> parts;
 };
 
 std::string EncodeDigest(const host_digest& digest);
--- /dev/null
+++ b/packages/serving/tests/host_digest_test.cpp
@@ -0,0 +1,35 @@
+#include "serving/host_digest.h"
+
+#include <gtest/gtest.h>
+
+namespace bluebell::serving {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Guards against evidence on prompt parts that is lost or changed between two
+// hosts.
+TEST(host_digest, KeepsEvidenceOnPromptParts) {
+  host_digest digest;
+  digest.host = host_id("h");
+  digest.incarnation = "1";
+  digest.parts = {{prompt_part_id("bad"),
+                   {{endpoint_id("e1"), milliseconds(200), milliseconds(230)},
+                    {endpoint_id("e2"), milliseconds(10), milliseconds(40)}},
+                   std::nullopt},
+                  {prompt_part_id("a"), {}, milliseconds(5)}};
+  const auto decoded = DecodeDigest(EncodeDigest(digest));
+  ASSERT_TRUE(decoded) << decoded.error().detail;
+  ASSERT_EQ(decoded->parts.size(), 2U);
+  const auto& bad = decoded->parts[0];
+  EXPECT_EQ(bad.part, prompt_part_id("bad"));
+  ASSERT_EQ(bad.crashes.size(), 2U);
+  EXPECT_EQ(bad.crashes[0].engine, endpoint_id("e1"));
+  EXPECT_EQ(bad.crashes[0].age, milliseconds(200));
+  EXPECT_EQ(bad.crashes[1].sent_age, milliseconds(40));
+  EXPECT_FALSE(bad.answered_age);
+  EXPECT_EQ(decoded->parts[1].answered_age, milliseconds(5));
+}
+
+}  // namespace
+}  // namespace bluebell::serving
--- a/packages/serving/tests/stop_admission_test.cpp
+++ b/packages/serving/tests/stop_admission_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <limits>
+#include <ostream>
 #include <random>
 
 #include "base/manual_clock.h"
@@ -127,6 +128,10 @@
   double delayed_share;
 };
 
+void PrintTo(const stream_mix& mix, std::ostream* out) {
+  *out << mix.delayed_share;
+}
+
 class stop_replay : public testing::TestWithParam<stream_mix> {};
 
 // Replays streams whose stated size is widely spread, at engines of different
