edge: a blank line of either line end completes an event

What callers saw: an event whose lines end in LF and whose blank line ends in CRLF was held back until another event or the end of the stream followed.

Cause: the end of an event was searched as "\n\n" or "\r\n\r\n", while the count of events takes LF and CRLF as equal. The blank line is now found as "\n\n" or "\n\r\n", which covers every combination of the two.

Evidence: stream_events.BlankLineOfEitherKindEndsAnEvent and the new case of EndOfAnEventThatIsSplitIsFound failed before with an end offset of 0.

Ruled out: a single CR as the end of a line. The engines do not use it, and a CR at the end of the bytes received so far may belong to a CRLF.

--- a/packages/edge/stream_events.cpp
+++ b/packages/edge/stream_events.cpp
@@ -7,16 +7,17 @@
 
 std::size_t CompleteEvents(const std::string& bytes, std::size_t scanned) {
   // A terminator may begin in the bytes that were scanned before.
-  constexpr std::size_t kLongestTerminator = 4;
+  constexpr std::size_t kLongestTerminator = 3;
   const std::size_t from =
       scanned < kLongestTerminator ? 0 : scanned - kLongestTerminator + 1;
   const std::string_view rest = std::string_view(bytes).substr(from);
+  // The line before the blank one may end in CRLF, too.
   const auto lf_end = rest.rfind("\n\n");
-  const auto crlf_end = rest.rfind("\r\n\r\n");
+  const auto crlf_end = rest.rfind("\n\r\n");
   std::size_t end = 0;
   if (lf_end != std::string_view::npos) end = from + lf_end + 2;
   if (crlf_end != std::string_view::npos) {
-    end = std::max(end, from + crlf_end + 4);
+    end = std::max(end, from + crlf_end + 3);
   }
   return end;
 }
--- a/packages/edge/tests/stream_events_test.cpp
+++ b/packages/edge/tests/stream_events_test.cpp
@@ -13,6 +13,14 @@
   EXPECT_EQ(CompleteEvents("id: 1\r\n\r\nid"), 9U);
 }
 
+// Guards against an event that is held back, or taken for an incomplete one,
+// because its lines end in different ways.
+TEST(stream_events, BlankLineOfEitherKindEndsAnEvent) {
+  EXPECT_EQ(CompleteEvents("data: x\n\r\nid"), 10U);
+  EXPECT_EQ(CompleteEvents("data: x\r\n\nid"), 10U);
+  EXPECT_EQ(CompleteEvents("data: x\r\n\r"), 0U);
+}
+
 // Guards against resuming a stream after the wrong event.
 TEST(stream_events, FindsTheLastId) {
   EXPECT_EQ(LastEventId("id: 7\ndata: x\n\nid: 8\ndata: id: 9\n\n"), "8");
@@ -30,7 +38,8 @@
 // Guards against missing the end of an event that arrives in several parts, and
 // against scanning a long event anew for each of them.
 TEST(stream_events, EndOfAnEventThatIsSplitIsFound) {
-  for (const std::string event : {"id: 1\ndata: x\n\n", "data: x\r\n\r\n"}) {
+  for (const std::string event :
+       {"id: 1\ndata: x\n\n", "data: x\r\n\r\n", "data: x\n\r\n"}) {
     for (std::size_t split = 0; split < event.size(); ++split) {
       EXPECT_EQ(CompleteEvents(event, split), event.size()) << split;
     }
