edge: a stream that ends inside an event is broken off

A part of the first event came as a 200 with a length. A resumable stream was not resumed.

Cause: the relay took the end of the body as the end of the stream and forwarded the bytes that were left. That is right for a body with a length, not for an answer that may end with its connection: the connection closes in the same way when an engine crashes.

Change: bytes after the last whole event that hold a part of another one break the stream, whatever its framing, in the same way as a lost connection: resumed after the last event where the route allows it, else ended without the last chunk, or 502 if nothing was sent. The request counts as run, so it is neither refused nor sent again if it may run only once. Blank lines and whole comment lines after the last event belong to none. An answer that states another type than an event stream is relayed as a plain one, and cannot continue a stream.

Ruled out: a reset that is taken for the end. The read reports it also if the bytes before it arrive at the same time. Breaking every answer that holds no event: one without a stated type whose length or last chunk was received is still forwarded as it is.

--- a/packages/edge/request_send.cpp
+++ b/packages/edge/request_send.cpp
@@ -1,4 +1,6 @@
 #include <algorithm>
+#include <string_view>
+#include <utility>
 
 #include "edge/relayed_request.h"
 #include "edge/stream_events.h"
@@ -38,6 +40,13 @@
 constexpr std::size_t kMaxAnswerBytes = 4 * 1024 * 1024;
 constexpr std::size_t kMaxEventBytes = 1024 * 1024;
 
+bool StatesAnotherType(const http_response& head) {
+  constexpr std::string_view kStreamType = "text/event-stream";
+  const auto type = head.fields.Find("Content-Type");
+  return !type.empty() && !gateway::EqualsIgnoringCase(
+                              type.substr(0, kStreamType.size()), kStreamType);
+}
+
 }  // namespace
 
 const char* ToString(send_result result) {
@@ -184,7 +193,7 @@
   ++runs_;
   first_answer_ = host_.time.now() - sent_at_;
   const bool success = head->status >= 200 && head->status < 300;
-  if (route_->streaming && success) {
+  if (route_->streaming && success && !StatesAnotherType(*head)) {
     return RelayStream(id, lease, *head, answer_info);
   }
   if (sink_.started()) {
@@ -254,27 +263,25 @@
                                          engine_connections::lease& lease,
                                          const http_response& head,
                                          const engine_answer& answer_info) {
+  const auto break_off = [&](std::string detail) {
+    last_detail_ = std::move(detail);
+    stream_broken_ = !IsInterrupted();
+    lease.connection->Close();
+    --runs_;  // counted again by OnConnectionLost
+    return OnConnectionLost();
+  };
   std::string pending;
   while (true) {
     auto part = lease.connection->ReadSome(
         std::max(TimeLeft(), milliseconds(1)), yield_);
-    if (!part) {
-      last_detail_ = part.error().detail;
-      stream_broken_ = !IsInterrupted();
-      --runs_;
-      return OnConnectionLost();
-    }
+    if (!part) return break_off(part.error().detail);
     if (part->empty()) break;
     const auto scanned = pending.size();
     pending += *part;
     const auto complete = CompleteEvents(pending, scanned);
     if (complete == 0) {
       if (pending.size() <= kMaxEventBytes) continue;
-      last_detail_ = "event too large";
-      lease.connection->Close();
-      stream_broken_ = true;
-      --runs_;  // counted again by OnConnectionLost
-      return OnConnectionLost();
+      return break_off("event too large");
     }
     if (!sink_.started()) {
       RecordFirstAnswer();
@@ -303,6 +310,13 @@
       return send_result::kCallerGone;
     }
   }
+  // An answer without type or events is whole if its framing says so.
+  const bool may_be_plain = !sink_.started() &&
+                            !lease.connection->ends_with_connection() &&
+                            head.fields.Find("Content-Type").empty();
+  if (!may_be_plain && HoldsPartOfEvent(pending)) {
+    return break_off("the stream ended inside an event");
+  }
   ReturnConnection(id, lease, answer_info);
   status_ = head.status;
   if (!sink_.started()) {
--- a/packages/edge/stream_events.cpp
+++ b/packages/edge/stream_events.cpp
@@ -22,6 +22,21 @@
   return end;
 }
 
+bool HoldsPartOfEvent(const std::string& rest) {
+  std::size_t line = 0;
+  while (line < rest.size()) {
+    const auto end = rest.find('\n', line);
+    const bool whole = end != std::string::npos;
+    const bool comment = whole && rest[line] == ':';
+    const bool blank =
+        rest[line] == '\n' || rest.compare(line, end - line, "\r") == 0;
+    if (!comment && !blank) return true;
+    if (!whole) break;
+    line = end + 1;
+  }
+  return false;
+}
+
 int CountEvents(const std::string& events) {
   int count = 0;
   // Ignoring CR makes LF and CRLF line endings equivalent.
--- a/packages/edge/stream_events.h
+++ b/packages/edge/stream_events.h
@@ -9,6 +9,10 @@
 /// first `scanned` bytes are known to hold no complete event.
 std::size_t CompleteEvents(const std::string& bytes, std::size_t scanned = 0);
 
+/// Whether `rest`, the bytes after the last complete event, holds a part of
+/// another one. Blank lines and whole comment lines belong to no event.
+bool HoldsPartOfEvent(const std::string& rest);
+
 /// Number of events in `events`, which ends with a complete one.
 int CountEvents(const std::string& events);
 
--- a/packages/edge/tests/stream_events_test.cpp
+++ b/packages/edge/tests/stream_events_test.cpp
@@ -21,6 +21,18 @@
   EXPECT_EQ(CompleteEvents("data: x\r\n\r"), 0U);
 }
 
+// Guards against a stream that was cut inside an event and is taken as whole,
+// and against the opposite.
+TEST(stream_events, OnlyBlankLinesAndCommentsArePartOfNoEvent) {
+  for (const char* rest : {"", "\n", "\r\n", "\r", ": bye\n", "\n:\r\n\r"}) {
+    EXPECT_FALSE(HoldsPartOfEvent(rest)) << rest;
+  }
+  for (const char* rest : {"i", "id: 2\n", "data: x\r\n", "\nid: 2\n", ": by",
+                           ": bye\nid", "x-weight-versions: 5\n"}) {
+    EXPECT_TRUE(HoldsPartOfEvent(rest)) << rest;
+  }
+}
+
 // Guards against resuming a stream after the wrong event.
 TEST(stream_events, FindsTheLastId) {
   EXPECT_EQ(LastEventId("id: 7\ndata: x\n\nid: 8\ndata: id: 9\n\n"), "8");
--- a/packages/gateway/endpoint_connection.cpp
+++ b/packages/gateway/endpoint_connection.cpp
@@ -100,9 +100,13 @@
 
 void endpoint_connection::ExpectNextResponse() { state_->Reset(); }
 
+bool endpoint_connection::ends_with_connection() const {
+  return state_->parser->need_eof();
+}
+
 bool endpoint_connection::reusable() const {
   const auto& parser = *state_->parser;
-  return parser.is_done() && parser.keep_alive() && !parser.need_eof() &&
+  return parser.is_done() && parser.keep_alive() && !ends_with_connection() &&
          state_->buffer.size() == 0;
 }
 
--- a/packages/gateway/endpoint_connection.h
+++ b/packages/gateway/endpoint_connection.h
@@ -44,6 +44,9 @@
   /// Discards the parsed response and prepares for the next one, which the
   /// endpoint sends without another request.
   void ExpectNextResponse();
+  /// Whether the response whose head was read has neither a length nor chunks
+  /// and ends with the connection.
+  bool ends_with_connection() const;
   /// Whether the response was read completely, the endpoint keeps the
   /// connection open, and no bytes followed the response.
   bool reusable() const;
