edge: an unframed stream without events is broken off

What callers saw: a 200 with an empty body, as a whole answer, when an engine closed the connection after the head of a stream without length or chunks.

Cause: the close is the end of such an answer, so an empty body looks whole. An engine that ends after the head closes the connection in the same way, and a stream is a series of events: the answer does not show that it is whole. The caller now gets 502, which promises nothing, or the request is sent to another engine if it may be repeated. At worst a stream that was meant to be empty fails.

Evidence: framing_fixture.UnframedStreamWithoutEventsIsAnError and UnframedStreamWithoutEventsIsRunElsewhere failed before.

Ruled out: the same for a stream whose last chunk or length was received, since the engine itself stated the end (FramedStreamWithoutEventsIsComplete), and for a resumed stream, which may have nothing left after its last event (ResumedStreamWithoutFurtherEventsIsComplete).

--- a/packages/edge/request_send.cpp
+++ b/packages/edge/request_send.cpp
@@ -310,13 +310,18 @@
       return send_result::kCallerGone;
     }
   }
+  const bool unframed = lease.connection->ends_with_connection();
   // An answer without type or events is whole if its framing says so.
-  const bool may_be_plain = !sink_.started() &&
-                            !lease.connection->ends_with_connection() &&
-                            head.fields.Find("Content-Type").empty();
+  const bool may_be_plain =
+      !sink_.started() && !unframed && head.fields.Find("Content-Type").empty();
   if (!may_be_plain && HoldsPartOfEvent(pending)) {
     return break_off("the stream ended inside an event");
   }
+  // Such a connection closes in the same way when the engine ends after the
+  // head of its answer.
+  if (!sink_.started() && unframed) {
+    return break_off("the stream ended without an event");
+  }
   ReturnConnection(id, lease, answer_info);
   status_ = head.status;
   if (!sink_.started()) {
