gateway: a listener that stops accepting closes its idle connections

Seen: four seconds after StopAccepting with one second, an idle connection was still open; a draining host waits for all connections to end, and callers could send further requests on such a connection.

Cause: nothing entered a connection into the set of idle ones that the timer cancels.

http_server.StopAcceptingClosesIdleConnections failed before and passes.

--- a/packages/gateway/http_server.cpp
+++ b/packages/gateway/http_server.cpp
@@ -327,8 +327,10 @@
     io_error ec;
     if (buffer_.size() == 0) {
       stream_.expires_after(state_->limits.idle_timeout);
+      state_->idle.insert(&stream_);
       const std::size_t count =
           stream_.async_read_some(buffer_.prepare(kReadBytes), yield[ec]);
+      state_->idle.erase(&stream_);
       if (ec) {
         status_.phase = connection_phase::kClosing;
         return ec;
