--- a/packages/daemon/tests/hosted_stop_test.cpp
+++ b/packages/daemon/tests/hosted_stop_test.cpp
@@ -57,6 +57,8 @@
   for (auto& client : clients) client.join();
   EXPECT_EQ(status, 0);
   ::unsetenv("MALLOC_PERTURB_");
+  ::unlink(settings.c_str());
+  ::unlink((settings + ".log").c_str());
 }
 
 }  // namespace
