serving: crashes at one moment do not push out the earlier ones

Seen: a part's requests reached engines again after its quarantine, up to 38 later than allowed where the part of a third of all requests is bad.

Cause: eight crashes are kept for a part and the oldest was dropped. Engines that come back together crash again together; they count as one moment but replaced the earlier moments, so that the count fell below the limit. Found by review.

--- a/packages/serving/part_quarantine.cpp
+++ b/packages/serving/part_quarantine.cpp
@@ -151,7 +151,14 @@
       crashes.begin(), crashes.end(), added,
       [](const crash& a, const crash& b) { return a.at < b.at; });
   crashes.insert(after, std::move(added));
-  if (crashes.size() > kMaxCrashes) crashes.erase(crashes.begin());
+  if (crashes.size() <= kMaxCrashes) return;
+  // One of several crashes at the same moment says nothing more.
+  for (auto it = std::next(crashes.begin()); it != crashes.end(); ++it) {
+    if (it->at - std::prev(it)->at >= kSameMoment) continue;
+    crashes.erase(it);
+    return;
+  }
+  crashes.erase(crashes.begin());
 }
 
 int part_quarantine::UnrefutedCrashes(const record& entry) const {
--- a/packages/serving/tests/part_quarantine_test.cpp
+++ b/packages/serving/tests/part_quarantine_test.cpp
@@ -96,6 +96,17 @@
   EXPECT_EQ(other.Admit(Parts({"a"})), part_verdict::kAllowed);
 }
 
+// Guards against crashes that are forgotten because many engines crash at the
+// same moment later.
+TEST_F(part_quarantine_test, EnginesLostTogetherDoNotHideEarlierCrashes) {
+  Answer(parts_, Parts({"bad"}));
+  Crash(parts_, Parts({"bad"}), 5);
+  for (int i = 0; i < 12; ++i) {
+    Crash(parts_, Parts({"bad"}), 1, milliseconds(2));
+  }
+  EXPECT_EQ(parts_.Admit(Parts({"bad"})), part_verdict::kRefused);
+}
+
 // Guards against a part that is refused without end: popular ones are tested
 // soon, by one request at a time.
 TEST_F(part_quarantine_test, AnsweredPartIsTestedAgain) {
