serving, edge: each quarantined part is tested again, by two hosts of the fleet

Cause: trials were due only for 60 s after an answer, their interval grew with the first series of crashes, and each host made its own.

Change: an answer counts as long as the part is remembered; the interval (5 s, or 20 s for a part without answers) grows with each crash in a trial; only the two first hosts of the ranking test, and only with requests that have one quarantined part. In HostsLearnFromEachOther the learning host may not test, since a trial would be due now; what it checks is the same.

--- a/packages/edge/request_relay.cpp
+++ b/packages/edge/request_relay.cpp
@@ -33,6 +33,9 @@
 // Crashes over all hosts from which on a request is refused. A request that was
 // merely in flight beside the cause is unlikely to be there three times.
 constexpr int kCrashLimit = 3;
+// Hosts that test quarantined prompt parts for all; more would crash several
+// engines at once.
+constexpr int kTestingHosts = 2;
 
 const char* ToString(gateway::response_progress progress) {
   switch (progress) {
@@ -77,7 +80,8 @@
     if (account_ == nullptr) return Refuse(401, "unknown_key", std::nullopt);
   }
   deadline_ = received_at_ + time_limit;
-  const auto verdict = host_.parts.Admit(caller_.shared_parts);
+  const auto verdict = host_.parts.Admit(
+      caller_.shared_parts, host_.directory.Rank() < kTestingHosts);
   if (verdict == serving::part_verdict::kRefused) {
     return Refuse(503, "crashes_engines", std::nullopt);
   }
--- a/packages/serving/part_quarantine.cpp
+++ b/packages/serving/part_quarantine.cpp
@@ -13,7 +13,7 @@
   for (const auto& part : parts) {
     auto& entry = Touch(part);
     AddCrash(entry, {engine, crashed_at, sent_at});
-    NoteQuarantine(part, entry);
+    UpdateQuarantine(part, entry);
   }
 }
 
@@ -22,22 +22,24 @@
   for (const auto& part : parts) {
     auto& entry = Touch(part);
     entry.answered = std::max(entry.answered.value_or(sent_at), sent_at);
-    entry.noted = IsQuarantined(entry);
+    UpdateQuarantine(part, entry);
   }
 }
 
-part_verdict part_quarantine::Admit(const std::vector<prompt_part_id>& parts) {
-  std::vector<record*> suspected;
+part_verdict part_quarantine::Admit(const std::vector<prompt_part_id>& parts,
+                                    bool may_test) {
+  record* suspected = nullptr;
   for (const auto& part : parts) {
     const auto found = records_.find(part);
     if (found == records_.end() || !IsQuarantined(found->second)) continue;
-    if (!IsTrialDue(found->second)) return part_verdict::kRefused;
-    suspected.push_back(&found->second);
-  }
-  if (suspected.empty()) return part_verdict::kAllowed;
-  for (auto* entry : suspected) {
-    entry->trial_until = clock_.now() + kTrialTime;
+    // A request with two such parts tests neither.
+    if (!may_test || suspected != nullptr || !IsTrialDue(found->second)) {
+      return part_verdict::kRefused;
+    }
+    suspected = &found->second;
   }
+  if (suspected == nullptr) return part_verdict::kAllowed;
+  suspected->trial_until = clock_.now() + kTrialTime;
   return part_verdict::kTrial;
 }
 
@@ -96,7 +98,7 @@
       const auto answered = now - *report.answered_age;
       entry.answered = std::max(entry.answered.value_or(answered), answered);
     }
-    NoteQuarantine(report.part, entry);
+    UpdateQuarantine(report.part, entry);
   }
 }
 
@@ -104,11 +106,14 @@
   return std::exchange(quarantined_, {});
 }
 
-void part_quarantine::NoteQuarantine(const prompt_part_id& part,
-                                     record& entry) {
-  const bool now_quarantined = IsQuarantined(entry);
-  if (now_quarantined && !entry.noted) quarantined_.push_back(part);
-  entry.noted = now_quarantined;
+void part_quarantine::UpdateQuarantine(const prompt_part_id& part,
+                                       record& entry) {
+  if (!IsQuarantined(entry)) {
+    entry.quarantined_at.reset();
+  } else if (!entry.quarantined_at) {
+    entry.quarantined_at = clock_.now();
+    quarantined_.push_back(part);
+  }
 }
 
 part_quarantine::record& part_quarantine::Touch(const prompt_part_id& part) {
@@ -174,23 +179,28 @@
   return moments;
 }
 
-bool part_quarantine::HadAnswers(const record& entry) const {
-  return entry.answered && clock_.now() - *entry.answered < kAnswerRetention;
+int part_quarantine::FailedTrials(const record& entry) const {
+  if (!entry.quarantined_at) return 0;
+  int failed = 0;
+  for (const auto& seen : entry.crashes) {
+    if (seen.at - *entry.quarantined_at >= kLastCrashes) ++failed;
+  }
+  return failed;
 }
 
 bool part_quarantine::IsQuarantined(const record& entry) const {
   if (entry.crashes.empty()) return false;
   if (clock_.now() - entry.crashes.back().at >= kQuarantineTime) return false;
   return UnrefutedCrashes(entry) >=
-         (HadAnswers(entry) ? kCrashLimitOfAnswered : kCrashLimit);
+         (entry.answered ? kCrashLimitOfAnswered : kCrashLimit);
 }
 
 bool part_quarantine::IsTrialDue(const record& entry) const {
-  if (!HadAnswers(entry)) return false;
   const auto now = clock_.now();
   if (now < entry.trial_until) return false;
-  std::chrono::duration<double> interval = kTrialInterval;
-  for (int n = UnrefutedCrashes(entry); n > kCrashLimitOfAnswered; --n) {
+  std::chrono::duration<double> interval =
+      entry.answered ? kTrialIntervalOfAnswered : kTrialInterval;
+  for (int n = FailedTrials(entry); n > 0; --n) {
     interval *= kTrialIntervalGrowth;
   }
   return now - entry.crashes.back().at >= interval * entry.trial_spread;
--- a/packages/serving/part_quarantine.h
+++ b/packages/serving/part_quarantine.h
@@ -45,10 +45,10 @@
 /// A part is quarantined after several crashes at different moments, if no
 /// request with it was answered that was sent after the first of them. Parts
 /// that many requests share are cleared by these within a fraction of a second.
-/// A part that was answered before needs more crashes, and is tested again by
-/// single requests at growing intervals, since engines may crash faster than
-/// answers arrive. Hosts exchange their evidence and merge it, so that a host
-/// which has just started learns what all others know.
+/// A part that was answered before needs more crashes. Quarantined parts are
+/// tested again by single requests at growing intervals, since engines may
+/// crash faster than answers arrive. Hosts exchange their evidence and merge
+/// it, so that a host which has just started learns what all others know.
 class part_quarantine {
  public:
   part_quarantine(const clock& source, std::uint64_t seed)
@@ -63,8 +63,9 @@
   void OnAnswered(const std::vector<prompt_part_id>& parts,
                   clock::time_point sent_at);
 
-  /// Decides about a new request. `kTrial` is given to one request in a while.
-  part_verdict Admit(const std::vector<prompt_part_id>& parts);
+  /// Decides about a new request. `kTrial` is given to one request in a while,
+  /// if this host `may_test`: a few hosts test for all.
+  part_verdict Admit(const std::vector<prompt_part_id>& parts, bool may_test);
   /// Whether a part is quarantined, trials aside.
   bool IsQuarantined(const std::vector<prompt_part_id>& parts) const;
 
@@ -86,14 +87,17 @@
   // A part that was never answered is allowed again after this time; the next
   // crash quarantines it again.
   static constexpr std::chrono::minutes kQuarantineTime{10};
-  // Interval until the first trial of a part that was answered before, and its
-  // growth with each further crash.
-  static constexpr std::chrono::seconds kTrialInterval{5};
+  // Interval until the first trial of a part that was answered before, and of
+  // others, and its growth with each trial that ends in a crash.
+  static constexpr std::chrono::seconds kTrialIntervalOfAnswered{5};
+  static constexpr std::chrono::seconds kTrialInterval{20};
   static constexpr int kTrialIntervalGrowth = 4;
+  // Crashes by requests that were sent before the quarantine end by then.
+  static constexpr std::chrono::seconds kLastCrashes{2};
   // A trial is over by then.
   static constexpr std::chrono::seconds kTrialTime{3};
   static constexpr std::chrono::minutes kCrashRetention{60};
-  static constexpr std::chrono::seconds kAnswerRetention{60};
+  static constexpr std::chrono::minutes kAnswerRetention{10};
   // Evidence is reported for this long, or for as long as the part is
   // quarantined.
   static constexpr std::chrono::seconds kReportTime{15};
@@ -113,8 +117,8 @@
     clock::time_point trial_until;
     /// Spreads the trials of different hosts.
     double trial_spread = 1;
-    /// Whether the quarantine was returned by `TakeQuarantined`.
-    bool noted = false;
+    /// When the quarantine began.
+    std::optional<clock::time_point> quarantined_at;
   };
 
   record& Touch(const prompt_part_id& part);
@@ -124,8 +128,9 @@
   int UnrefutedCrashes(const record& entry) const;
   bool IsQuarantined(const record& entry) const;
   bool IsTrialDue(const record& entry) const;
-  bool HadAnswers(const record& entry) const;
-  void NoteQuarantine(const prompt_part_id& part, record& entry);
+  // Moments at which engines crashed in trials.
+  int FailedTrials(const record& entry) const;
+  void UpdateQuarantine(const prompt_part_id& part, record& entry);
 
   const clock& clock_;
   std::mt19937_64 random_;
--- a/packages/serving/tests/part_quarantine_test.cpp
+++ b/packages/serving/tests/part_quarantine_test.cpp
@@ -47,10 +47,10 @@
 // share nothing but one part.
 TEST_F(part_quarantine_test, PartThatCrashesEnginesIsRefused) {
   Crash(parts_, Parts({"a", "bad"}), 2);
-  EXPECT_EQ(parts_.Admit(Parts({"c", "bad"})), part_verdict::kAllowed);
+  EXPECT_EQ(parts_.Admit(Parts({"c", "bad"}), true), part_verdict::kAllowed);
   Answer(parts_, Parts({"a", "b"}));
   Crash(parts_, Parts({"c", "bad"}), 1);
-  EXPECT_EQ(parts_.Admit(Parts({"d", "bad"})), part_verdict::kRefused);
+  EXPECT_EQ(parts_.Admit(Parts({"d", "bad"}), true), part_verdict::kRefused);
   EXPECT_EQ(parts_.TakeQuarantined(), Parts({"bad"}));
   EXPECT_TRUE(parts_.TakeQuarantined().empty());
 }
@@ -62,8 +62,8 @@
     Crash(parts_, Parts({"a", "bad"}), 1);
     Answer(parts_, Parts({"a", "b"}));
   }
-  EXPECT_EQ(parts_.Admit(Parts({"a", "b"})), part_verdict::kAllowed);
-  EXPECT_EQ(parts_.Admit(Parts({"a", "bad"})), part_verdict::kRefused);
+  EXPECT_EQ(parts_.Admit(Parts({"a", "b"}), true), part_verdict::kAllowed);
+  EXPECT_EQ(parts_.Admit(Parts({"a", "bad"}), true), part_verdict::kRefused);
 }
 
 // Guards against an answer that was sent before a part began to crash engines
@@ -71,16 +71,16 @@
 TEST_F(part_quarantine_test, EarlierAnswersDoNotClearAPart) {
   Answer(parts_, Parts({"bad"}));
   Crash(parts_, Parts({"bad"}), 4);
-  EXPECT_EQ(parts_.Admit(Parts({"bad"})), part_verdict::kAllowed);
+  EXPECT_EQ(parts_.Admit(Parts({"bad"}), true), part_verdict::kAllowed);
   Crash(parts_, Parts({"bad"}), 1);
-  EXPECT_EQ(parts_.Admit(Parts({"bad"})), part_verdict::kRefused);
+  EXPECT_EQ(parts_.Admit(Parts({"bad"}), true), part_verdict::kRefused);
 }
 
 // Guards against refusing the requests of a part that was in use at several
 // engines when these were lost together.
 TEST_F(part_quarantine_test, EnginesLostTogetherCountOnce) {
   for (int i = 0; i < 12; ++i) Crash(parts_, Parts({"a"}), 1, milliseconds(2));
-  EXPECT_EQ(parts_.Admit(Parts({"a"})), part_verdict::kAllowed);
+  EXPECT_EQ(parts_.Admit(Parts({"a"}), true), part_verdict::kAllowed);
 }
 
 // Guards against counting one crash once for each request and host.
@@ -92,8 +92,8 @@
     other.OnEvidence(parts_.Evidence());
     parts_.OnEvidence(other.Evidence());
   }
-  EXPECT_EQ(parts_.Admit(Parts({"a"})), part_verdict::kAllowed);
-  EXPECT_EQ(other.Admit(Parts({"a"})), part_verdict::kAllowed);
+  EXPECT_EQ(parts_.Admit(Parts({"a"}), true), part_verdict::kAllowed);
+  EXPECT_EQ(other.Admit(Parts({"a"}), true), part_verdict::kAllowed);
 }
 
 // Guards against crashes that are forgotten because many engines crash at the
@@ -104,7 +104,7 @@
   for (int i = 0; i < 12; ++i) {
     Crash(parts_, Parts({"bad"}), 1, milliseconds(2));
   }
-  EXPECT_EQ(parts_.Admit(Parts({"bad"})), part_verdict::kRefused);
+  EXPECT_EQ(parts_.Admit(Parts({"bad"}), true), part_verdict::kRefused);
 }
 
 // Guards against a part that is refused without end: popular ones are tested
@@ -112,12 +112,12 @@
 TEST_F(part_quarantine_test, AnsweredPartIsTestedAgain) {
   Answer(parts_, Parts({"a"}));
   Crash(parts_, Parts({"a"}), 5);
-  EXPECT_EQ(parts_.Admit(Parts({"a"})), part_verdict::kRefused);
+  EXPECT_EQ(parts_.Admit(Parts({"a"}), true), part_verdict::kRefused);
   clock_.Advance(seconds(10));
-  EXPECT_EQ(parts_.Admit(Parts({"a"})), part_verdict::kTrial);
-  EXPECT_EQ(parts_.Admit(Parts({"a"})), part_verdict::kRefused);
+  EXPECT_EQ(parts_.Admit(Parts({"a"}), true), part_verdict::kTrial);
+  EXPECT_EQ(parts_.Admit(Parts({"a"}), true), part_verdict::kRefused);
   Answer(parts_, Parts({"a"}));
-  EXPECT_EQ(parts_.Admit(Parts({"a"})), part_verdict::kAllowed);
+  EXPECT_EQ(parts_.Admit(Parts({"a"}), true), part_verdict::kAllowed);
 }
 
 // Guards against trials that go on crashing engines: their interval grows, and
@@ -129,8 +129,8 @@
   int trials = 0;
   for (int i = 0; i < 600; ++i) {
     clock_.Advance(milliseconds(100));
-    EXPECT_NE(parts_.Admit(Parts({"a", "bad"})), part_verdict::kTrial);
-    if (parts_.Admit(Parts({"a"})) != part_verdict::kTrial) continue;
+    EXPECT_NE(parts_.Admit(Parts({"a", "bad"}), true), part_verdict::kTrial);
+    if (parts_.Admit(Parts({"a"}), true) != part_verdict::kTrial) continue;
     ++trials;
     Crash(parts_, Parts({"a"}), 1, milliseconds(50));
   }
@@ -138,13 +138,49 @@
   EXPECT_LE(trials, 3);
 }
 
+// Guards against innocent parts that stay refused because their first series of
+// crashes was long, or because they were never answered.
+TEST_F(part_quarantine_test, EveryQuarantinedPartIsTestedAgain) {
+  Answer(parts_, Parts({"a"}));
+  Crash(parts_, Parts({"a"}), 7);
+  Crash(parts_, Parts({"new", "bad"}), 3);
+  int trials = 0;
+  int trials_of_new = 0;
+  for (int i = 0; i < 60; ++i) {
+    clock_.Advance(seconds(1));
+    if (parts_.Admit(Parts({"a"}), true) == part_verdict::kTrial) ++trials;
+    if (parts_.Admit(Parts({"new"}), true) == part_verdict::kTrial) {
+      ++trials_of_new;
+    }
+  }
+  EXPECT_GE(trials, 1);
+  EXPECT_GE(trials_of_new, 1);
+}
+
+// Guards against a part that is refused without any further crash, because its
+// last answer lies back.
+TEST_F(part_quarantine_test, PassingTimeDoesNotQuarantineAPart) {
+  Answer(parts_, Parts({"a"}));
+  Crash(parts_, Parts({"a"}), 3);
+  clock_.Advance(seconds(61));
+  EXPECT_EQ(parts_.Admit(Parts({"a"}), true), part_verdict::kAllowed);
+}
+
+// Guards against one trial by each host of a fleet at the same time.
+TEST_F(part_quarantine_test, HostThatMayNotTestRefuses) {
+  Crash(parts_, Parts({"bad"}), 3);
+  clock_.Advance(minutes(5));
+  EXPECT_EQ(parts_.Admit(Parts({"bad"}), false), part_verdict::kRefused);
+  EXPECT_EQ(parts_.Admit(Parts({"bad"}), true), part_verdict::kTrial);
+}
+
 // Guards against the same crashes all over again when a quarantine ends.
 TEST_F(part_quarantine_test, OneCrashRenewsAnExpiredQuarantine) {
   Crash(parts_, Parts({"bad"}), 3);
   clock_.Advance(minutes(11));
-  EXPECT_EQ(parts_.Admit(Parts({"bad"})), part_verdict::kAllowed);
+  EXPECT_EQ(parts_.Admit(Parts({"bad"}), true), part_verdict::kAllowed);
   Crash(parts_, Parts({"bad"}), 1);
-  EXPECT_EQ(parts_.Admit(Parts({"bad"})), part_verdict::kRefused);
+  EXPECT_EQ(parts_.Admit(Parts({"bad"}), true), part_verdict::kRefused);
 }
 
 // Guards against hosts that each need all the crashes for themselves, and
@@ -155,12 +191,12 @@
   Crash(parts_, Parts({"bad"}), 2);
   Crash(second, Parts({"bad"}), 1);
   second.OnEvidence(parts_.Evidence());
-  EXPECT_EQ(second.Admit(Parts({"bad"})), part_verdict::kRefused);
+  EXPECT_EQ(second.Admit(Parts({"bad"}), false), part_verdict::kRefused);
   clock_.Advance(minutes(5));
   third.OnEvidence(second.Evidence());
-  EXPECT_EQ(third.Admit(Parts({"bad"})), part_verdict::kRefused);
+  EXPECT_EQ(third.Admit(Parts({"bad"}), false), part_verdict::kRefused);
   clock_.Advance(minutes(6));
-  EXPECT_EQ(third.Admit(Parts({"bad"})), part_verdict::kAllowed);
+  EXPECT_EQ(third.Admit(Parts({"bad"}), false), part_verdict::kAllowed);
 }
 
 // Guards against evidence that hosts keep alive by repeating it to each other,
@@ -175,7 +211,7 @@
     other.OnEvidence(parts_.Evidence());
     parts_.OnEvidence(other.Evidence());
   }
-  EXPECT_EQ(parts_.Admit(Parts({"a"})), part_verdict::kAllowed);
+  EXPECT_EQ(parts_.Admit(Parts({"a"}), true), part_verdict::kAllowed);
   EXPECT_TRUE(parts_.Evidence().empty());
 }
 
@@ -292,7 +328,7 @@
     const auto host = static_cast<std::size_t>(Uniform(0, case_.hosts - 1));
     const bool late = crashes >= 5 && now_ms_ > fifth_crash_ms_ + 6000;
     if (!bad && late) ++late_sound;
-    if (hosts_[host]->Admit(parts) == part_verdict::kRefused) {
+    if (hosts_[host]->Admit(parts, host < 2) == part_verdict::kRefused) {
       if (!bad) ++sound_refused;
       if (!bad && late) ++late_sound_refused;
       return;
