serving, edge: evidence in a digest that is handled late is taken as old

Seen in the review: a host that was frozen handled a digest 2.9 s late, took the answer in it as 2.9 s newer than it was, and its next digest cleared a part that crashes engines on all hosts; 15 queued digests about one crash became three crashes and quarantined an innocent part.

Cause: ages were applied at the time of handling.

Change: host_directory measures how late a digest is, by its sender's uptime against the quickest digests of the last minutes, and the evidence is shifted by that. LateDigestDoesNotClearAPart and LateDigestsDoNotMultiplyACrash are the review's cases with the lateness given; both failed with the old interface.

--- a/packages/edge/digest_exchange.cpp
+++ b/packages/edge/digest_exchange.cpp
@@ -148,7 +148,7 @@
   for (const auto& [fingerprint, crashes] : digest->crashes) {
     host_.crashes.OnNotice(digest->host, fingerprint, crashes);
   }
-  host_.parts.OnEvidence(digest->parts);
+  host_.parts.OnEvidence(digest->parts, host_.directory.Lateness(*digest));
   if (digest->leaving) host_.fleet.OnPeerGone(digest->host);
   demand_[digest->host] = digest->demand;
   if (digest->hello)
--- a/packages/serving/host_directory.cpp
+++ b/packages/serving/host_directory.cpp
@@ -39,6 +39,19 @@
   return true;
 }
 
+clock::duration host_directory::Lateness(const host_digest& digest) {
+  const auto now = clock_.now();
+  const auto start = now - std::chrono::milliseconds(digest.uptime_ms);
+  auto& known = sender_starts_[digest.host];
+  if (known.incarnation != digest.incarnation) {
+    known = {digest.incarnation, now, start, start};
+  } else if (now - known.window_begin >= kDriftWindow) {
+    known = {digest.incarnation, now, start, known.earliest};
+  }
+  known.earliest = std::min(known.earliest, start);
+  return start - std::min(known.earliest, known.earliest_before);
+}
+
 bool host_directory::UpdateRole(bool in_use) {
   const bool was_active = active_;
   const bool was_engaged = engaged_;
--- a/packages/serving/host_directory.h
+++ b/packages/serving/host_directory.h
@@ -78,6 +78,9 @@
   /// Whether `host` is known and in the zone of this host.
   bool IsInOwnZone(const host_id& host) const;
   const std::map<host_id, peer>& peers() const { return peers_; }
+  /// How much later than the quickest digests of its sender `digest` is
+  /// handled: ages in it have grown by that much. Zero for the first one.
+  clock::duration Lateness(const host_digest& digest);
   /// The live host that most recently reported to hold the placement lease;
   /// null if none.
   const peer* LeaseHolder() const;
@@ -136,6 +139,16 @@
   int listed_active_ = 0;
   std::map<host_id, peer> peers_;
   std::map<host_id, bool> reported_silent_;
+  /// Start of a sender by this host's clock, as its quickest digests of the
+  /// last one to two windows tell; clocks drift apart over longer times.
+  struct sender_start {
+    std::string incarnation;
+    clock::time_point window_begin;
+    clock::time_point earliest;
+    clock::time_point earliest_before;
+  };
+  static constexpr std::chrono::seconds kDriftWindow{60};
+  std::map<host_id, sender_start> sender_starts_;
 };
 
 }  // namespace bluebell::serving
--- a/packages/serving/part_quarantine.cpp
+++ b/packages/serving/part_quarantine.cpp
@@ -87,15 +87,16 @@
   return evidence;
 }
 
-void part_quarantine::OnEvidence(const std::vector<part_evidence>& reported) {
-  const auto now = clock_.now();
+void part_quarantine::OnEvidence(const std::vector<part_evidence>& reported,
+                                 clock::duration lateness) {
+  const auto sent = clock_.now() - lateness;
   for (const auto& report : reported) {
     auto& entry = Touch(report.part);
     for (const auto& seen : report.crashes) {
-      AddCrash(entry, {seen.engine, now - seen.age, now - seen.sent_age});
+      AddCrash(entry, {seen.engine, sent - seen.age, sent - seen.sent_age});
     }
     if (report.answered_age) {
-      const auto answered = now - *report.answered_age;
+      const auto answered = sent - *report.answered_age;
       entry.answered = std::max(entry.answered.value_or(answered), answered);
     }
     UpdateQuarantine(report.part, entry);
--- a/packages/serving/part_quarantine.h
+++ b/packages/serving/part_quarantine.h
@@ -71,7 +71,9 @@
 
   /// Evidence for the other hosts: the parts with the most crashes.
   std::vector<part_evidence> Evidence() const;
-  void OnEvidence(const std::vector<part_evidence>& reported);
+  /// Ages in `reported` are as of `lateness` ago.
+  void OnEvidence(const std::vector<part_evidence>& reported,
+                  clock::duration lateness = clock::duration(0));
   /// Parts that were quarantined since the last call.
   std::vector<prompt_part_id> TakeQuarantined();
 
--- a/packages/serving/tests/host_directory_test.cpp
+++ b/packages/serving/tests/host_directory_test.cpp
@@ -143,5 +143,25 @@
   EXPECT_EQ(read->adapter_requests.at(0).adapter, adapter_id("a"));
 }
 
+// Guards against ages that are taken as current from a digest that waited while
+// this host was frozen, and against the drift of clocks over hours.
+TEST_F(host_directory_test, LateDigestIsRecognized) {
+  auto digest = MakeDigest("b", 1);
+  EXPECT_EQ(directory_.Lateness(digest), clock::duration(0));
+  clock_.Advance(milliseconds(3200));
+  digest.uptime_ms += 200;
+  EXPECT_EQ(directory_.Lateness(digest), milliseconds(3000));
+  digest.uptime_ms += 3000;
+  EXPECT_EQ(directory_.Lateness(digest), clock::duration(0));
+  for (int minute = 0; minute < 100; ++minute) {
+    clock_.Advance(milliseconds(60'010));
+    digest.uptime_ms += 60'000;
+    EXPECT_LE(directory_.Lateness(digest), milliseconds(20));
+  }
+  digest.incarnation = "restarted";
+  digest.uptime_ms = 10;
+  EXPECT_EQ(directory_.Lateness(digest), clock::duration(0));
+}
+
 }  // namespace
 }  // namespace bluebell::serving
--- a/packages/serving/tests/part_quarantine_test.cpp
+++ b/packages/serving/tests/part_quarantine_test.cpp
@@ -199,6 +199,37 @@
   EXPECT_EQ(third.Admit(Parts({"bad"}), false), part_verdict::kAllowed);
 }
 
+// Guards against an old answer that looks new because a host handles a digest
+// late, and clears a part that crashes engines.
+TEST_F(part_quarantine_test, LateDigestDoesNotClearAPart) {
+  part_quarantine frozen(clock_, 2);
+  Answer(parts_, Parts({"bad"}));
+  Crash(parts_, Parts({"bad"}), 1);
+  const auto queued = parts_.Evidence();
+  const auto queued_at = clock_.now();
+  Crash(parts_, Parts({"bad"}), 4, milliseconds(600));
+  clock_.Advance(milliseconds(500));
+  frozen.OnEvidence(queued, clock_.now() - queued_at);
+  parts_.OnEvidence(frozen.Evidence());
+  EXPECT_TRUE(parts_.IsQuarantined(Parts({"bad"})));
+}
+
+// Guards against one crash that counts several times because a host handles
+// several digests about it at once.
+TEST_F(part_quarantine_test, LateDigestsDoNotMultiplyACrash) {
+  part_quarantine frozen(clock_, 2);
+  Crash(parts_, Parts({"a"}), 1);
+  std::vector<std::pair<clock::time_point, std::vector<part_evidence>>> queued;
+  for (int i = 0; i < 15; ++i) {
+    clock_.Advance(milliseconds(200));
+    queued.emplace_back(clock_.now(), parts_.Evidence());
+  }
+  for (const auto& [sent, evidence] : queued) {
+    frozen.OnEvidence(evidence, clock_.now() - sent);
+  }
+  EXPECT_FALSE(frozen.IsQuarantined(Parts({"a"})));
+}
+
 // Guards against evidence that hosts keep alive by repeating it to each other,
 // and against answers that only one host knows of.
 TEST_F(part_quarantine_test, RefutedEvidenceExpires) {
