edge: a trial of a quarantined part reaches one engine

Seen: on a route with two attempts a request that was admitted to test a part crashed an engine and was then sent to a second one.

Cause: the check before each send was skipped for all sends of such a request. Found by review. Now only the first send is exempt. crashing_part.TrialReachesOneEngine failed before (2 arrivals) and passes.

The line of a request that failed without having run also named the status that was not sent; it names 503 now.

--- a/packages/edge/request_relay.cpp
+++ b/packages/edge/request_relay.cpp
@@ -177,7 +177,8 @@
       EndWithoutEngine(choice);
       return;
     }
-    if (!tests_part_ && host_.parts.IsQuarantined(caller_.shared_parts)) {
+    const bool is_trial = tests_part_ && sends_ == 0;
+    if (!is_trial && host_.parts.IsQuarantined(caller_.shared_parts)) {
       return Fail(502, "crashes_engines");
     }
     const send_result result = SendTo(choice.engine);
@@ -325,10 +326,9 @@
   if (sink_.started()) {
     sink_.AbortStream();
   } else {
-    const bool not_run = !may_have_run_ && runs_ == 0;
-    sink_.SendResponse(host_.dialect.LocalAnswer(not_run ? 503 : status,
-                                                 caller_.id, std::nullopt),
-                       yield_);
+    if (!may_have_run_ && runs_ == 0) status = 503;
+    sink_.SendResponse(
+        host_.dialect.LocalAnswer(status, caller_.id, std::nullopt), yield_);
   }
   End(reason, status);
 }
