edge: a crash between two events of an unframed stream is recognized

Seen: ten of ten requests with a part that crashes engines reached an engine when these wrote an event of a stream without length or chunks before they crashed.

Cause: the end of the connection is the regular end of such a stream, so the engine was not probed. Found by review.

Change: the engine is probed after a delivered answer, too, unless it is known to have survived writing it. crashing_part.CrashesInUnframedStreamsAreRecognized failed before and passes.

--- a/packages/edge/request_send.cpp
+++ b/packages/edge/request_send.cpp
@@ -167,7 +167,10 @@
       result == send_result::kUnknown || result == send_result::kFailedAnswer ||
       (result == send_result::kNotRun && !misdirected_) ||
       (result == send_result::kExpired && !first_answer_) || stream_broken_;
-  if (result == send_result::kUnknown) DetectCrash(address);
+  const bool may_have_crashed =
+      result == send_result::kUnknown ||
+      (result == send_result::kDelivered && !engine_survived_);
+  if (may_have_crashed) DetectCrash(address);
   host_.fleet.OnEnd(id, {failed, first_answer_, host_.time.now() - sent_at_,
                          requirements_.model, MeasureStepTime()});
   host_.changed.Notify();
@@ -376,7 +379,8 @@
   if (!sink_.started() && unframed) {
     return break_off("the stream ended without an event");
   }
-  // An engine that crashes between two events ends an unframed stream, too.
+  // An engine that crashes between two events ends an unframed stream in the
+  // same way.
   if (!unframed) OnEngineSurvived();
   ReturnConnection(id, lease, answer_info);
   status_ = head.status;
