serving: a full table of prompt parts keeps the quarantined ones

Cause: the entry that was unused longest was removed, one at a time, and refused requests do not use theirs. Found by review.

Change: a tenth of the table is removed at once, and no quarantined part. part_quarantine_test.FloodOfPartsKeepsTheQuarantine failed before and passes.

--- a/packages/serving/part_quarantine.cpp
+++ b/packages/serving/part_quarantine.cpp
@@ -128,20 +128,19 @@
   return found->second;
 }
 
-// Removes what no longer matters, at least the entry that was unused longest.
+// Makes room by removing the entries that were unused longest, but none that is
+// quarantined.
 void part_quarantine::RemoveOld() {
-  const auto now = clock_.now();
-  for (auto it = records_.begin(); it != records_.end();) {
-    const auto kept = it->second.crashes.empty()
-                          ? clock::duration(kAnswerRetention)
-                          : clock::duration(kCrashRetention);
-    it = now - it->second.touched > kept ? records_.erase(it) : std::next(it);
+  std::vector<std::pair<clock::time_point, const prompt_part_id*>> removable;
+  for (const auto& [part, entry] : records_) {
+    if (!IsQuarantined(entry)) removable.emplace_back(entry.touched, &part);
+  }
+  const auto count = std::min(removable.size(), kMaxRecords / 10);
+  const auto last = removable.begin() + static_cast<std::ptrdiff_t>(count);
+  std::partial_sort(removable.begin(), last, removable.end());
+  for (auto it = removable.begin(); it != last; ++it) {
+    records_.erase(records_.find(*it->second));
   }
-  if (records_.size() < kMaxRecords) return;
-  records_.erase(std::min_element(records_.begin(), records_.end(),
-                                  [](const auto& a, const auto& b) {
-                                    return a.second.touched < b.second.touched;
-                                  }));
 }
 
 void part_quarantine::AddCrash(record& entry, crash added) {
--- a/packages/serving/part_quarantine.h
+++ b/packages/serving/part_quarantine.h
@@ -99,7 +99,6 @@
   // A trial is over by then.
   static constexpr std::chrono::seconds kTrialTime{3};
   static constexpr std::chrono::minutes kCrashRetention{60};
-  static constexpr std::chrono::minutes kAnswerRetention{10};
   // Evidence is reported for this long, or for as long as the part is
   // quarantined.
   static constexpr std::chrono::seconds kReportTime{15};
--- a/packages/serving/tests/part_quarantine_test.cpp
+++ b/packages/serving/tests/part_quarantine_test.cpp
@@ -230,6 +230,17 @@
   EXPECT_FALSE(frozen.IsQuarantined(Parts({"a"})));
 }
 
+// Guards against a flood of other parts that makes a host forget those that are
+// quarantined.
+TEST_F(part_quarantine_test, FloodOfPartsKeepsTheQuarantine) {
+  Crash(parts_, Parts({"bad"}), 3);
+  for (int i = 0; i < 25'000; ++i) {
+    if (i % 500 == 0) clock_.Advance(seconds(1));
+    parts_.OnAnswered({prompt_part_id("p" + std::to_string(i))}, clock_.now());
+  }
+  EXPECT_TRUE(parts_.IsQuarantined(Parts({"bad"})));
+}
+
 // Guards against evidence that hosts keep alive by repeating it to each other,
 // and against answers that only one host knows of.
 TEST_F(part_quarantine_test, RefutedEvidenceExpires) {
