--- a/packages/edge/request_relay.cpp
+++ b/packages/edge/request_relay.cpp
@@ -33,6 +33,9 @@
 // Crashes over all hosts from which on a request is refused. A request that was
 // merely in flight beside the cause is unlikely to be there three times.
 constexpr int kCrashLimit = 3;
+// Hosts that test quarantined prompt parts for all; more would crash several
+// engines at once.
+constexpr int kTestingHosts = 2;
 
 const char* ToString(gateway::response_progress progress) {
   switch (progress) {
@@ -77,7 +80,8 @@
     if (account_ == nullptr) return Refuse(401, "unknown_key", std::nullopt);
   }
   deadline_ = received_at_ + time_limit;
-  const auto verdict = host_.parts.Admit(caller_.shared_parts);
+  const auto verdict = host_.parts.Admit(
+      caller_.shared_parts, host_.directory.Rank() < kTestingHosts);
   if (verdict == serving::part_verdict::kRefused) {
     return Refuse(503, "crashes_engines", std::nullopt);
   }
@@ -173,7 +177,8 @@
       EndWithoutEngine(choice);
       return;
     }
-    if (!tests_part_ && host_.parts.IsQuarantined(caller_.shared_parts)) {
+    const bool is_trial = tests_part_ && sends_ == 0;
+    if (!is_trial && host_.parts.IsQuarantined(caller_.shared_parts)) {
       return Fail(502, "crashes_engines");
     }
     const send_result result = SendTo(choice.engine);
@@ -321,10 +326,9 @@
   if (sink_.started()) {
     sink_.AbortStream();
   } else {
-    const bool not_run = !may_have_run_ && runs_ == 0;
-    sink_.SendResponse(host_.dialect.LocalAnswer(not_run ? 503 : status,
-                                                 caller_.id, std::nullopt),
-                       yield_);
+    if (!may_have_run_ && runs_ == 0) status = 503;
+    sink_.SendResponse(
+        host_.dialect.LocalAnswer(status, caller_.id, std::nullopt), yield_);
   }
   End(reason, status);
 }
