soak: planned work in overlapping series; LOST, GRACE, CRASH

Cause: the soak could not find a stream that a stopping host breaks off. Its streams lasted 0.1 s, a SIGTERM came alone, and no check asked what became of a request around a stop.

Change: - Callers prefer stopping hosts and use kept and new connections to them until the process has ended. Part of the requests is sent in two parts. - Planned work comes in series that overlap: rolling SIGTERM with gaps shorter than the stop, a second SIGTERM, SIGTERM within configuration storms and SIGHUP storms, signals right after the start. Calm phases hold planned work alone; storms spare some hosts and engines.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -11,8 +11,20 @@
   ORDER    a stream with missing or repeated events, or complete too early
   KEYS     a key works longer than its bound after it was withdrawn
   SERVED   nothing is served for ten seconds after the last fault has ended
+  EXIT     a host ends by itself with another status than 0
+  GRACE    a host still runs at the end of the grace time after SIGTERM
+  LOST     a request that only planned work touched gets no whole answer
+  CRASH    requests of which one shared part crashes engines go on to reach
+           engines, or sound requests are refused for them (--crash-parts)
 
-Usage: soak.py [--seed N] [--seeds N] [--seconds S] [--keep DIR]
+Planned work is SIGTERM, SIGHUP, restarts and configuration changes; it comes in
+series that overlap. Faults (SIGKILL, SIGSTOP, the store, engines, links) come in
+storms, which spare some hosts and engines, between calm phases that hold planned
+work alone. LOST does not judge requests that a fault touched, and CHECKED fails
+a run in which it judged under a third of the requests around stops.
+
+Usage: soak.py [--seed N] [--seeds N] [--seconds S] [--hosts N] [--keep DIR]
+               [--program PATH] [--crash-parts]
 Ends only processes that it started, by their ids.
 """
 import argparse
@@ -20,6 +32,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -29,7 +42,27 @@
 
 REVOKE_S = 5.0
 GRACE_S = 8
-HOSTS = 4
+# LOST: a fault excuses the requests that are sent this long after it.
+CONTACT_S = 3.0
+# LOST: an engine still at work in the last sixth of the grace time excuses
+# requests that were sent within this time after SIGTERM.
+LATE_SEND_S = 3.0
+# LOST: a connection that closes this soon under a request that no engine got
+# crossed the request.
+CROSSING_S = 0.2
+# LOST: time by which an answer may end before the deadline that it is held to.
+DEADLINE_MARGIN_S = 0.1
+# LOST: the checks of this process are late by this at most; requests during
+# longer pauses of its own are not judged.
+MAX_PAUSE_S = 0.15
+LONG_TIMEOUT_S = 12.0
+SHORT_TIMEOUT_S = 3.0
+# EXIT: time in which a started process comes to handle signals.
+START_S = 0.2
+# CRASH: how often requests that crash engines come, and how many may reach
+# engines later than `CONTACT_S` after the fifth crash.
+CRASH_REQUEST_INTERVAL_S = 0.4
+MAX_LATE_CRASHES = 3
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 PROGRAM = os.path.join(ROOT, "build", "bin", "bluebellraild")
 
@@ -79,6 +112,10 @@
             "spec": spec, "status": None}
         return self.objects[(kind, name)]
 
+    def remove(self, kind, name):
+        self.revision += 1
+        return self.objects.pop((kind, name), None)
+
     def call(self, method, target, body):
         path = target.split("?")[0].split("/")[2:]
         kind, name = path[0], path[1] if len(path) > 1 else ""
@@ -91,7 +128,7 @@
                              "store_revision": self.revision}
             return (200, found) if found else (404, {})
         if method == "DELETE":
-            return 200, self.objects.pop((kind, name), {})
+            return 200, self.remove(kind, name) or {}
         meta = body["metadata"]
         if method == "POST":
             if (kind, meta["name"]) in self.objects:
@@ -134,14 +171,40 @@
             writer.close()
 
 
+async def pause(seconds, reader, writer):
+    """Works for a while; returns false once the caller's connection ended."""
+    end = now() + seconds
+    while now() < end:
+        if reader.at_eof() or writer.is_closing():
+            return False
+        await asyncio.sleep(min(0.05, max(0.0, end - now())))
+    return not reader.at_eof() and not writer.is_closing()
+
+
+async def write_events(attempt, start, seconds, reader, writer, cut=None):
+    """Writes the rest of a stream of ten events that lasts `seconds`; breaks
+    off within the event after `cut`. Returns whether it wrote the end."""
+    for number in range(start, 11):
+        event = f"id: {number}\ndata: {attempt}\n\n".encode()
+        if cut and number > cut:
+            writer.write(b"%x\r\n" % len(event) + event[:5])
+            return False
+        writer.write(b"%x\r\n" % len(event) + event + b"\r\n")
+        await writer.drain()
+        if not await pause(seconds / 10, reader, writer):
+            return False
+    writer.write(b"0\r\n\r\n")
+    return True
+
+
 class Engine:
     """A server that runs requests, sometimes badly."""
 
     def __init__(self, soak, number):
         self.soak, self.number = soak, number
         self.id = f"i-{number}"
+        self.key = ("engine", self.id)
         self.fault = ""
-        self.server = None
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -150,7 +213,7 @@
         await self.proxy.start()
         self.soak.store.put("servers", self.id, {
             "service": "shop", "address": f"127.0.0.1:{self.proxy.port}",
-            "zone": "z1", "version": "v1", "slots": 8, "state": "ready",
+            "zone": "z1", "version": "v1", "slots": 24, "state": "ready",
             "born": 1, "seq": 1})
 
     async def serve(self, reader, writer):
@@ -161,7 +224,7 @@
                     return
                 first, fields = head
                 body = await read_body(reader, fields)
-                if not await self.run(first, fields, body, writer):
+                if not await self.run(first, fields, body, reader, writer):
                     return
         except (ConnectionError, asyncio.IncompleteReadError,
                 asyncio.CancelledError):
@@ -169,7 +232,14 @@
         finally:
             writer.close()
 
-    async def run(self, first, fields, body, writer):
+    async def run(self, first, fields, body, reader, writer):
+        arrival = self.soak.arrived(fields.get("x-attempt-id", ""), self)
+        try:
+            return await self.work(first, fields, body, reader, writer)
+        finally:
+            arrival["end"] = now()
+
+    async def work(self, first, fields, body, reader, writer):
         rng, attempt = self.soak.rng, fields.get("x-attempt-id", "")
         common = {"X-Attempt-Id": attempt}
         if fields.get("x-expect-instance") != self.id:
@@ -182,7 +252,10 @@
                                  {**common, "X-Not-Executed": "1"}))
             return True
         self.soak.ran(attempt, fields, first)
-        await asyncio.sleep(rng.uniform(0.001, 0.03))
+        seconds = float(body.split()[1])
+        stream = any(f"/{kind}/" in first for kind in STREAMS)
+        if not await pause(0.005 if stream else seconds, reader, writer):
+            return False
         if fault == "reset":
             return False
         if fault == "errors":
@@ -190,7 +263,7 @@
                                  {**common, "X-Server-Seal": attempt}))
             return True
         common["X-Server-Seal"] = attempt
-        if "/stream/" not in first and "/resumed/" not in first:
+        if not stream:
             answer = message("HTTP/1.1 200 OK", common, b"ran " + body)
             if fault == "cut":
                 writer.write(answer[:-2])
@@ -203,16 +276,8 @@
             f"{name}: {value}\r\n" for name, value in common.items()) +
             "Transfer-Encoding: chunked\r\n\r\n").encode())
         start = int(fields.get("last-event-id") or 0) + 1
-        for number in range(start, 11):
-            event = f"id: {number}\ndata: {attempt}\n\n".encode()
-            if fault in ("cut", "reset") and number > 4:
-                writer.write(b"%x\r\n" % len(event) + event[:5])
-                return False
-            writer.write(b"%x\r\n" % len(event) + event + b"\r\n")
-            await writer.drain()
-            await asyncio.sleep(0.01)
-        writer.write(b"0\r\n\r\n")
-        return True
+        cut = 4 if fault in ("cut", "reset") else None
+        return await write_events(attempt, start, seconds, reader, writer, cut)
 
 
 class Proxy:
@@ -262,19 +327,133 @@
             self.writers.discard(writer)
 
 
+class ModelEngine:
+    """An engine of a model service, which some requests crash."""
+
+    # The first part is everybody's, the second one crashes engines.
+    SHARED_PART, CRASHING_PART = "5c1e07a2", "badc0de5"
+
+    def __init__(self, soak, number):
+        self.soak, self.number = soak, number
+        self.key = ("engine", f"m-{number}")
+        self.starts, self.port = 0, 0
+        self.server, self.writers = None, set()
+
+    async def start(self):
+        self.starts += 1
+        self.id = f"m-{self.number}-{self.starts}"
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1",
+                                                 self.port)
+        self.port = self.server.sockets[0].getsockname()[1]
+        self.soak.store.put("servers", self.id, {
+            "service": "llm", "address": f"127.0.0.1:{self.port}",
+            "zone": "z1", "version": "v1", "slots": 8, "state": "ready",
+            "born": int(time.time() * 1000), "seq": 1,
+            "models": [{"name": "tiles", "version": 1, "adapters": []}]})
+
+    async def crash(self):
+        server, self.server = self.server, None
+        begun, dead = now(), self.id
+        self.soak.crashes.append(begun)
+        self.soak.note(f"engine {dead} crashes")
+        server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+        away = self.soak.rng.uniform(2, 4)
+        await asyncio.sleep(1.5)
+        self.soak.store.remove("servers", dead)
+        await asyncio.sleep(away - 1.5)
+        self.soak.spans.append((self.key, begun, now()))
+        await self.start()
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            while True:
+                head = await read_head(reader)
+                if head is None:
+                    return
+                first, fields = head
+                body = await read_body(reader, fields)
+                if first.startswith("GET /report"):
+                    self.report(fields, writer)
+                elif first.startswith("POST /order"):
+                    writer.write(message("HTTP/1.1 409 Busy", {}))
+                elif first.startswith("GET "):
+                    writer.write(message("HTTP/1.1 200 OK",
+                                         {"X-Instance-Id": self.id}))
+                elif not await self.run(first, fields, body, reader, writer):
+                    return
+        except (ConnectionError, asyncio.IncompleteReadError,
+                asyncio.CancelledError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    def report(self, fields, writer):
+        writer.write(message("HTTP/1.1 200 OK", {
+            "X-Attempt-Id": fields.get("x-attempt-id", ""),
+            "X-Instance-Id": self.id, "Content-Type": "application/json",
+        }, json.dumps({
+            "stage": "colocated", "busy": False, "seq": 1, "queued": 0,
+            "active": 0, "kv_used": 0, "kv_total": 90000, "handles": 0,
+            "models": [{"name": "tiles", "version": 1, "adapters": []}],
+        }).encode()))
+
+    async def run(self, first, fields, body, reader, writer):
+        attempt = fields.get("x-attempt-id", "")
+        common = {"X-Attempt-Id": attempt}
+        if fields.get("x-expect-instance") != self.id:
+            writer.write(message("HTTP/1.1 421 Other",
+                                 {**common, "X-Instance-Id": self.id}))
+            return True
+        arrival = self.soak.arrived(attempt, self)
+        self.soak.ran(attempt, fields, first)
+        parts = fields.get("x-prompt-prefix", "").split(",")
+        crashes = any(part.startswith(self.CRASHING_PART)
+                      for part in parts[:-1])
+        if crashes:
+            self.soak.crash_arrivals.append(now())
+        common["X-Server-Seal"] = attempt
+        writer.write(("HTTP/1.1 200 OK\r\n" + "".join(
+            f"{name}: {value}\r\n" for name, value in common.items()) +
+            "Transfer-Encoding: chunked\r\n\r\n").encode())
+        await writer.drain()
+        if crashes:
+            await asyncio.sleep(self.soak.rng.uniform(0.03, 0.08))
+            if self.server is not None:
+                self.soak.start_task(self.crash())
+            return False
+        alive = await write_events(attempt, 1, float(body.split()[1]),
+                                   reader, writer)
+        arrival["end"] = now()
+        return alive
+
+
 # Every host process that was started.
 LAUNCHED = []
 
 
+class Launch:
+    """One process of a host, with what was done to it."""
+
+    def __init__(self, process, log_size):
+        self.process, self.log_size = process, log_size
+        self.begun, self.signalled = now(), 0.0
+        self.terms = []
+
+
 class Host:
     """One bluebellraild process with its own way to the store."""
 
     def __init__(self, soak, number, base):
         self.soak, self.number = soak, number
+        self.key = ("host", number)
         self.front = base
-        self.process = None
         self.ports = range(base, base + 5)
-        self.frozen = False
+        self.launch = None
+        self.log = os.path.join(soak.folder, f"host-{number}.log")
 
     async def start(self):
         self.store = Proxy(self.soak.rng, self.soak.store_port)
@@ -303,117 +482,318 @@
 retry_slack = 50
 retry_ratio = 0.2
 """)
-        self.launch()
+        self.begin()
 
-    def launch(self):
-        log = open(os.path.join(self.soak.folder, f"host-{self.number}.log"),
-                   "ab")
-        self.process = subprocess.Popen(
-            [PROGRAM, "--hosted", "--config", self.ini], stdout=log,
-            stderr=log)
-        LAUNCHED.append(self.process)
-        self.frozen = False
+    def begin(self):
+        with open(self.log, "ab") as log:
+            process = subprocess.Popen(
+                [self.soak.program, "--hosted", "--config", self.ini],
+                stdout=log, stderr=log)
+        LAUNCHED.append(process)
+        self.launch = Launch(process, os.path.getsize(self.log))
+        self.soak.note(f"host-{self.number} begins, process {process.pid}")
+
+    def running(self):
+        return self.launch.process.poll() is None
+
+    def stopping(self):
+        return bool(self.launch.terms) and self.running()
 
     def send(self, number):
-        if self.process.poll() is None:
-            self.process.send_signal(number)
+        if self.running():
+            self.soak.note(f"host-{self.number} gets "
+                           f"{signal.Signals(number).name}")
+            self.launch.signalled = now()
+            self.launch.process.send_signal(number)
+
+    def term(self):
+        """SIGTERM; the first to a process starts its grace time."""
+        if not self.running():
+            return
+        launch = self.launch
+        launch.terms.append(now())
+        self.send(signal.SIGTERM)
+        if len(launch.terms) == 1:
+            self.soak.start_task(self.end_grace(launch))
+
+    async def end_grace(self, launch):
+        """Kills the process at the end of the grace time, as the platform
+        does. A process that was frozen meanwhile may still run then."""
+        end = launch.terms[0] + GRACE_S
+        while launch.process.poll() is None and now() < end:
+            await asyncio.sleep(0.02)
+        if launch.process.poll() is not None:
+            return
+        if not self.soak.touches(self.key, launch.terms[0], end) and \
+                not self.soak.touches("pause", launch.terms[0], end):
+            self.soak.problem("GRACE", f"host-{self.number} still ran "
+                                       f"{GRACE_S} s after SIGTERM")
+        self.soak.note(f"host-{self.number} is killed after the grace time")
+        launch.process.kill()
+
+    def could_handle_signals(self, launch):
+        """Whether the last signal could find the process's handlers. One that
+        comes before its main function ends any process."""
+        if launch.signalled - launch.begun > START_S:
+            return True
+        with open(self.log, "rb") as log:
+            log.seek(launch.log_size)
+            return b'"host_started"' in log.read()
+
+    async def keep_running(self):
+        """Restarts the process when it ended, as the platform does."""
+        while not self.soak.ending:
+            if not self.running():
+                launch = self.launch
+                code = launch.process.returncode
+                self.soak.note(f"host-{self.number} ended with {code}")
+                allowed = [0, -signal.SIGKILL]
+                if not self.could_handle_signals(launch):
+                    allowed += [-signal.SIGTERM, -signal.SIGHUP]
+                if code not in allowed:
+                    self.soak.problem("EXIT", f"host-{self.number} ended with "
+                                              f"{code}")
+                await asyncio.sleep(self.soak.rng.uniform(0, 0.3))
+                self.begin()
+            await asyncio.sleep(0.02)
+
+
+class Route:
+    def __init__(self, kind, attempts, timeout, keyed=True, **more):
+        self.kind, self.attempts = kind, attempts
+        self.timeout, self.keyed, self.more = timeout, keyed, more
+        self.repeatable = kind == "idempotent" or "resumable" in more
+        # What callers send as their deadline.
+        self.deadline = 2.0 if timeout == SHORT_TIMEOUT_S else timeout
+
+
+ROUTES = {
+    "once": Route("non_idempotent", 1, SHORT_TIMEOUT_S),
+    "often": Route("idempotent", 2, SHORT_TIMEOUT_S),
+    "open": Route("idempotent", 2, SHORT_TIMEOUT_S, False, public=True),
+    "stream": Route("streaming", 1, SHORT_TIMEOUT_S),
+    "resumed": Route("streaming", 2, SHORT_TIMEOUT_S, resumable=True),
+    "slow": Route("non_idempotent", 1, LONG_TIMEOUT_S),
+    "long": Route("streaming", 1, LONG_TIMEOUT_S),
+    "openlong": Route("streaming", 1, LONG_TIMEOUT_S, False, public=True),
+    "medium": Route("streaming", 1, LONG_TIMEOUT_S, False, public=True),
+    "longresumed": Route("streaming", 2, LONG_TIMEOUT_S, resumable=True),
+}
+CHAT = Route("streaming", 1, LONG_TIMEOUT_S)
+SHORT_KINDS = ["once", "often", "open", "stream", "resumed"]
+LONG_KINDS = ["slow", "long", "openlong", "medium", "longresumed"]
+STREAMS = ["stream", "resumed", "long", "openlong", "medium", "longresumed",
+           "chat"]
+ONCE = ["once", "stream", "slow", "long", "openlong", "medium", "chat"]
+
+
+class Request:
+    def __init__(self, attempt, kind, host, seconds):
+        self.attempt, self.kind, self.host = attempt, kind, host
+        self.route = ROUTES.get(kind, CHAT)
+        self.seconds = seconds
+        self.limit = self.route.deadline
+        self.launch, self.sent, self.end = None, None, None
+        self.outcome, self.status = "", 0
 
 
 class Soak:
-    def __init__(self, seed, seconds, folder):
-        self.rng = random.Random(seed)
-        self.seconds, self.folder = seconds, folder
+    def __init__(self, seed, options, folder):
+        self.rng, self.schedule = random.Random(seed), random.Random(seed)
+        self.seconds, self.folder = options.seconds, folder
+        self.program, self.host_count = options.program, options.hosts
+        self.crash_parts = options.crash_parts
         self.store = Store(self.rng)
         self.runs, self.problems = {}, []
         self.served, self.asked, self.last_served = 0, 0, 0
         self.keys = {"k0": None, "k1": None}
         self.version = 1
         self.ending = False
+        self.only_short = False
+        self.begun = now()
+        self.journal = open(os.path.join(folder, "soak.log"), "w")
+        # Faults: (what they harm, begin, end); open ones end at infinity.
+        self.spans = []
+        self.requests, self.arrivals = [], {}
+        self.around, self.judged, self.judged_around = 0, 0, 0
+        self.excused = {}
+        self.tasks = set()
+        # Harmed by no fault while a storm lasts.
+        self.spared = set()
+        self.crashes, self.crash_arrivals = [], []
+        self.crash_summary = ""
+
+    def note(self, text):
+        """One line of what the soak did, with the hosts' time of day."""
+        time_of_day = time.strftime("%H:%M:%S", time.gmtime())
+        millisecond = int(time.time() * 1000) % 1000
+        self.journal.write(f"{time_of_day}.{millisecond:03} "
+                           f"{now() - self.begun:8.3f} {text}\n")
+        self.journal.flush()
 
     def problem(self, rule, detail):
         self.problems.append(f"{rule}: {detail}")
+        self.note(f"{rule}: {detail}")
+
+    def start_task(self, work):
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        return task
 
     def ran(self, attempt, fields, first):
         self.runs.setdefault(attempt, 0)
         self.runs[attempt] += 1
-        once = "/once/" in first or "/stream/" in first
+        once = any(f"/{kind}/" in first for kind in ONCE)
         if once and self.runs[attempt] > 1:
             self.problem("TWICE", f"{attempt} {first}")
         if "authorization" in fields:
             self.problem("KEYS", f"{attempt}: the key reached an engine")
 
+    def arrived(self, attempt, engine):
+        arrival = {"engine": engine, "begin": now(), "end": None}
+        self.arrivals.setdefault(attempt, []).append(arrival)
+        return arrival
+
+    def touches(self, key, begin, end):
+        return any(harmed == key and first <= end and last >= begin
+                   for harmed, first, last in self.spans)
+
     def write_config(self):
-        def route(name, kind, attempts, **more):
+        def route(name, row):
             return {"name": name, "host": "h", "path_prefix": f"/{name}/",
-                    "kind": kind, "timeout_ms": 3000,
+                    "kind": row.kind, "timeout_ms": int(row.timeout * 1000),
                     "target_latency_ms": 200, "priority": 1,
-                    "service": "shop", "max_attempts": attempts, **more}
+                    "service": "shop", "max_attempts": row.attempts,
+                    **row.more}
         live = [key for key, gone in self.keys.items() if gone is None]
+        routes = [route(name, row) for name, row in ROUTES.items()]
+        routes += [route(f"unused{number}", ROUTES["once"])
+                   for number in range(self.rng.randint(0, 20))]
+        services = [{"name": "shop", "max_conns": 2000}]
+        if self.crash_parts:
+            routes.append({**route("chat", CHAT), "service": "llm"})
+            services.append({"name": "llm", "engine": {
+                "weights_mb": 200, "models": [
+                    {"name": "tiles", "weights_mb": 60, "load_time_s": 1}]}})
         self.store.put("config", "main", {
-            "version": self.version, "routes": [
-                route("once", "non_idempotent", 1),
-                route("often", "idempotent", 2),
-                route("stream", "streaming", 1),
-                route("resumed", "streaming", 2, resumable=True)],
-            "services": [{"name": "shop", "max_conns": 500}],
+            "version": self.version, "routes": routes, "services": services,
             "tenants": [{"name": "acme", "api_keys": live,
                          "unit": "token_stream", "plain_tokens": 1,
-                         "rate_per_s": 100000, "burst": 100000}]})
+                         "rate_per_s": 1000000, "burst": 1000000}]})
         self.version += self.rng.randint(1, 5)
 
-    async def ask(self, number, connections):
-        """One request over a kept or new connection; returns nothing."""
-        kind = self.rng.choice(["once", "often", "stream", "resumed"])
-        attempt = f"{number}-{self.asked}"
+    def withdraw_key(self):
+        live = [key for key, gone in self.keys.items() if gone is None]
+        if len(live) > 1:
+            self.keys[live[0]] = now()
+            self.keys[f"k{len(self.keys)}"] = None
+            self.write_config()
+
+    def choose_key(self, kind):
+        """Mostly a key in force; CRASH asks with such keys alone."""
+        live = [key for key, gone in self.keys.items() if gone is None]
+        in_force = kind == "chat" or self.rng.random() < 0.7
+        return self.rng.choice(live if in_force else list(self.keys))
+
+    def choose_seconds(self, kind, widely=False):
+        """How long the engine works on a request of this kind."""
+        rng = self.rng
+        if kind in ("once", "often", "open"):
+            return rng.uniform(0.01, 0.1)
+        if kind == "medium":
+            return rng.uniform(0.2, 3)
+        if kind in ("stream", "resumed"):
+            return 0.1 * 18 ** rng.random()
+        if widely:
+            return rng.uniform(0.5, 11)
+        return 0.1 * 110 ** rng.random()
+
+    async def ask(self, kind, host, connections, seconds, more=None):
+        """One request over a kept or new connection; returns what became of
+        it."""
+        attempt = f"{kind}-{self.asked}"
         self.asked += 1
-        key = self.rng.choice(list(self.keys))
-        sent = now()
-        host = self.rng.choice(self.hosts)
+        request = Request(attempt, kind, host, seconds)
+        key = self.choose_key(kind) if request.route.keyed else None
         try:
-            if host not in connections:
-                connections[host] = await asyncio.wait_for(
+            kept = connections.get(host)
+            if kept and (kept[0].at_eof() or kept[1].is_closing()):
+                connections.pop(host)[1].close()
+                kept = None
+            if kept is None:
+                opened = await asyncio.wait_for(
                     asyncio.open_connection("127.0.0.1", host.front), 1)
-            reader, writer = connections[host]
-            body = attempt.encode()
-            writer.write(message(f"POST /{kind}/7 HTTP/1.1", {
-                "Host": "h", "X-Attempt-Id": attempt, "X-Deadline-Ms": 2000,
-                "Authorization": f"Bearer {key}"}, body))
-            head = await asyncio.wait_for(read_head(reader), 4)
-            if head is None:
-                connections.pop(host, None)
-                return
-            status = int(head[0].split(" ")[1])
-            await asyncio.wait_for(
-                self.check(status, head[1], reader, kind, attempt, key, sent),
-                4)
-            if head[1].get("connection", "") == "close":
+                kept = connections[host] = (*opened, host.launch)
+            reader, writer, request.launch = kept
+            fields = {"Host": "h", "X-Attempt-Id": attempt,
+                      "X-Deadline-Ms": int(request.limit * 1000),
+                      **(more or {})}
+            if key:
+                fields["Authorization"] = f"Bearer {key}"
+            begun = now()
+            content = message(f"POST /{kind}/7 HTTP/1.1", fields,
+                              f"{attempt} {seconds:.3f}".encode())
+            if self.rng.random() < 0.15:
+                part = self.rng.randrange(1, len(content))
+                writer.write(content[:part])
+                await asyncio.sleep(self.rng.uniform(0.002, 0.06))
+                content = content[part:]
+            writer.write(content)
+            await asyncio.wait_for(writer.drain(), 1)
+            request.sent = now()
+            self.requests.append(request)
+            request.outcome = "cut"
+            closes = await asyncio.wait_for(
+                self.exchange(request, reader, key, begun),
+                request.limit + 1.5)
+            if closes:
                 connections.pop(host)[1].close()
-        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError,
-                ValueError):
-            pair = connections.pop(host, None)
-            if pair:
-                pair[1].close()
-
-    async def check(self, status, fields, reader, kind, attempt, key, sent):
-        if status in (429, 503, 408, 421):
-            await read_body(reader, fields)
+        except asyncio.TimeoutError:
+            request.outcome = request.outcome and "late"
+            self.drop(connections, host)
+        except (OSError, asyncio.IncompleteReadError, ValueError):
+            self.drop(connections, host)
+        if request.end is None:
+            request.end = now()
+        if request.status in (429, 503, 408, 421) and kind in ONCE:
             await asyncio.sleep(0.2)
-            if self.runs.get(attempt) and kind in ("once", "stream"):
-                self.problem("REFUSED", f"{attempt} got {status} and ran")
-            return
+            if self.runs.get(attempt):
+                self.problem("REFUSED",
+                             f"{attempt} got {request.status} and ran")
+        return request
+
+    @staticmethod
+    def drop(connections, host):
+        pair = connections.pop(host, None)
+        if pair:
+            pair[1].close()
+
+    async def exchange(self, request, reader, key, begun):
+        """Reads an answer; returns whether its connection closes after it."""
+        head = await read_head(reader)
+        if head is None:
+            raise ConnectionResetError()
+        status = int(head[0].split(" ")[1])
+        await self.check(status, head[1], reader, request, key, begun)
+        request.end, request.outcome = now(), "answer"
+        request.status = status
+        return head[1].get("connection", "") == "close"
+
+    async def check(self, status, fields, reader, request, key, sent):
+        kind, attempt = request.kind, request.attempt
         if status != 200:
             await read_body(reader, fields)
             return
-        gone = self.keys[key]
+        gone = self.keys[key] if key else None
         if gone is not None and sent > gone + REVOKE_S:
             self.problem("KEYS", f"{attempt} ran {sent - gone:.1f} s after "
                                  f"{key} was withdrawn")
         if fields.get("x-server-seal") != attempt:
             self.problem("MIXED", f"{attempt}: seal "
                                   f"{fields.get('x-server-seal')}")
-        if kind in ("once", "often"):
+        if kind not in STREAMS:
             body = await read_body(reader, fields)
-            if body != b"ran " + attempt.encode():
+            if body != f"ran {attempt} {request.seconds:.3f}".encode():
                 self.problem("MIXED", f"{attempt}: body {body!r}")
         else:
             expected = 1
@@ -432,102 +812,383 @@
         self.served += 1
         self.last_served = now()
 
-    async def client(self, number):
+    def choose_host(self):
+        """Half of the requests go to hosts that are stopping."""
+        stopping = [host for host in self.hosts if host.stopping()]
+        if stopping and self.rng.random() < 0.5:
+            return self.rng.choice(stopping)
+        return self.rng.choice(self.hosts)
+
+    async def client(self, kinds):
+        """Uses its connections as long as they are open."""
         connections = {}
         while not self.ending:
-            await self.ask(number, connections)
-            await asyncio.sleep(self.rng.uniform(0.005, 0.05))
+            kind = self.rng.choice(
+                SHORT_KINDS if self.only_short else kinds)
+            await self.ask(kind, self.choose_host(), connections,
+                           self.choose_seconds(kind), self.token_count(kind))
+            await asyncio.sleep(self.rng.uniform(0.02, 0.12))
+
+    def token_count(self, kind):
+        if kind != "openlong" or self.rng.random() < 0.5:
+            return None
+        return {"X-Token-Count": f"20,{self.rng.randint(50, 400)}"}
+
+    async def stop_client(self):
+        """Keeps a connection open until its host stops, and uses it, or else a
+        new one, at some moment until the process has ended."""
+        rng = self.rng
+        while not self.ending:
+            host, connections = rng.choice(self.hosts), {}
+            await self.ask("open", host, connections,
+                           self.choose_seconds("open"))
+            patience = now() + 10
+            while not host.stopping() and now() < patience and \
+                    not self.only_short:
+                await asyncio.sleep(0.02)
+            if host.stopping():
+                after = rng.uniform(2.7, 3.3) if rng.random() < 0.5 else \
+                    rng.uniform(0, GRACE_S)
+                launch = host.launch
+                until = launch.terms[0] + after
+                while now() < until and launch.process.poll() is None:
+                    await asyncio.sleep(0.01)
+            if not self.only_short:
+                kind = rng.choice(LONG_KINDS)
+                await self.ask(kind, host, connections,
+                               self.choose_seconds(kind, True),
+                               self.token_count(kind))
+            self.drop(connections, host)
+            await asyncio.sleep(rng.uniform(0.05, 0.2))
+
+    async def harm(self, key, seconds, begin, end):
+        """A fault that is harmful for a while."""
+        index = len(self.spans)
+        self.spans.append((key, now(), float("inf")))
+        self.note(f"fault at {key} for {seconds:.1f} s")
+        begin()
+        await asyncio.sleep(seconds)
+        end()
+        self.spans[index] = (key, self.spans[index][1], now())
 
-    async def fault(self):
+    async def fault(self, rng):
         """One random fault, ended after a random time; faults overlap."""
-        rng, span = self.rng, self.rng.uniform(0.2, 4)
-        kind = rng.choice(["kill", "term", "freeze", "store", "store_link",
-                           "engine", "engine_link", "reset", "config",
-                           "revoke", "hup", "engine_gone"])
-        host, engine = rng.choice(self.hosts), rng.choice(self.engines)
-        if kind == "kill":
-            host.send(signal.SIGKILL)
-        elif kind == "term":
-            host.send(signal.SIGTERM)
+        span = rng.uniform(0.2, 4)
+        kind = rng.choice(["kill", "term", "term_kill", "freeze",
+                           "term_freeze", "store", "store_link", "engine",
+                           "engine_link", "reset", "config", "revoke", "hup",
+                           "engine_gone", "planned"])
+        host = rng.choice([h for h in self.hosts if h not in self.spared])
+        engine = rng.choice([e for e in self.engines if e not in self.spared])
+        if kind in ("term", "term_kill", "term_freeze"):
+            host.term()
+        if kind == "term_kill":
+            await asyncio.sleep(rng.uniform(0, GRACE_S))
+        if kind == "term_freeze":
+            await asyncio.sleep(rng.uniform(0, 4))
+        if kind in ("kill", "term_kill"):
+            await self.harm(host.key, 0.1,
+                            lambda: host.send(signal.SIGKILL), lambda: None)
         elif kind == "hup":
             host.send(signal.SIGHUP)
-        elif kind == "freeze":
-            host.send(signal.SIGSTOP)
-            await asyncio.sleep(span)
-            host.send(signal.SIGCONT)
+        elif kind in ("freeze", "term_freeze"):
+            await self.harm(host.key, span, lambda: host.send(signal.SIGSTOP),
+                            lambda: host.send(signal.SIGCONT))
         elif kind == "store":
-            self.store.mode = rng.choice(["silent", "busy", "slow", "lost"])
-            await asyncio.sleep(span)
-            self.store.mode = "up"
+            def begin():
+                self.store.mode = rng.choice(["silent", "busy", "slow", "lost"])
+
+            def end():
+                self.store.mode = "up"
+            await self.harm("store", span, begin, end)
         elif kind in ("store_link", "engine_link"):
-            proxy = host.store if kind == "store_link" else engine.proxy
-            proxy.mode = rng.choice(["silent", "delay", "to", "from"])
-            await asyncio.sleep(span)
-            proxy.mode = "up"
+            proxy, key = (host.store, host.key) if kind == "store_link" else \
+                (engine.proxy, engine.key)
+
+            def begin():
+                proxy.mode = rng.choice(["silent", "delay", "to", "from"])
+
+            def end():
+                proxy.mode = "up"
+            await self.harm(key, span, begin, end)
         elif kind == "reset":
-            rng.choice([host.store, engine.proxy]).reset_all()
+            proxy, key = rng.choice([(host.store, host.key),
+                                     (engine.proxy, engine.key)])
+            await self.harm(key, 0.1, proxy.reset_all, lambda: None)
         elif kind == "engine":
-            engine.fault = rng.choice(
-                ["shed", "reset", "errors", "cut", "extra"])
-            await asyncio.sleep(span)
-            engine.fault = ""
+            def begin():
+                engine.fault = rng.choice(
+                    ["shed", "reset", "errors", "cut", "extra"])
+
+            def end():
+                engine.fault = ""
+            await self.harm(engine.key, span, begin, end)
         elif kind == "engine_gone":
-            spec = self.store.objects.pop(("servers", engine.id), None)
-            await asyncio.sleep(span)
-            if spec:
-                self.store.put("servers", engine.id, spec["spec"])
+            spec = self.store.remove("servers", engine.id)
+
+            def end():
+                if spec:
+                    self.store.put("servers", engine.id, spec["spec"])
+            await self.harm(engine.key, span, lambda: None, end)
         elif kind == "config":
             self.write_config()
         elif kind == "revoke":
-            live = [key for key, gone in self.keys.items() if gone is None]
-            if len(live) > 1:
-                self.keys[live[0]] = now()
-                self.keys[f"k{len(self.keys)}"] = None
+            self.withdraw_key()
+        elif kind == "planned":
+            await self.plan(rng)
+
+    async def plan(self, rng):
+        """One series of planned work; series overlap."""
+        kind = rng.choice(["roll", "roll", "again", "configs", "hups", "early",
+                           "early_hups", "restarts", "revoke"])
+        host = rng.choice(self.hosts)
+        self.note(f"planned work: {kind}, host-{host.number}")
+        if kind == "roll":
+            # Faster than the hosts stop, so that several stop at once.
+            count = rng.randint(2, max(2, len(self.hosts) // 2))
+            gap = rng.uniform(0.1, 3)
+            for other in rng.sample(self.hosts, count):
+                other.term()
+                await asyncio.sleep(gap * rng.uniform(0.5, 1.5))
+        elif kind == "again":
+            host.term()
+            for _ in range(rng.randint(1, 3)):
+                await asyncio.sleep(rng.uniform(0, 4))
+                if host.stopping():
+                    host.term()
+        elif kind == "configs":
+            count = rng.randint(10, 30)
+            stop = rng.randrange(count)
+            for number in range(count):
                 self.write_config()
+                if number == stop:
+                    host.term()
+                await asyncio.sleep(rng.uniform(0.01, 0.2))
+        elif kind == "hups":
+            count = rng.randint(5, 40)
+            stop = rng.randrange(2 * count)
+            for number in range(count):
+                for other in self.hosts if rng.random() < 0.3 else [host]:
+                    other.send(signal.SIGHUP)
+                if number == stop:
+                    host.term()
+                await asyncio.sleep(rng.uniform(0.005, 0.1))
+        elif kind == "early_hups":
+            host.term()
+            launch = host.launch
+            while host.launch is launch and not self.ending:
+                await asyncio.sleep(0.001)
+            for _ in range(20):
+                host.send(signal.SIGHUP)
+                await asyncio.sleep(rng.uniform(0, 0.01))
+        elif kind in ("early", "restarts"):
+            host.term()
+            for _ in range(1 if kind == "early" else 2):
+                launch = host.launch
+                while host.launch is launch and not self.ending:
+                    await asyncio.sleep(0.005)
+                await asyncio.sleep(rng.uniform(0, 0.05) if kind == "early"
+                                    else rng.uniform(0, 1))
+                host.term()
+        elif kind == "revoke":
+            self.withdraw_key()
 
-    async def keep_running(self):
-        """Restarts hosts whose process ended, as the platform does."""
+    async def watch_pauses(self):
+        """Finds the times at which this process itself was late."""
         while not self.ending:
-            for host in self.hosts:
-                if host.process.poll() is not None:
-                    if host.process.returncode not in (0, -9):
-                        self.problem("EXIT", f"host-{host.number} ended with "
-                                             f"{host.process.returncode}")
-                    await asyncio.sleep(self.rng.uniform(0, 0.3))
-                    host.launch()
-            await asyncio.sleep(0.05)
+            begun = now()
+            await asyncio.sleep(0.02)
+            if now() - begun - 0.02 > MAX_PAUSE_S:
+                self.spans.append(("pause", begun - 0.02, now()))
+                self.note(f"the soak paused for {now() - begun:.2f} s")
+
+    def harmed(self, request):
+        """Whether a fault may have had a part in what became of a request."""
+        begin, end = request.sent - CONTACT_S, request.end
+        keys = {request.host.key}
+        arrivals = self.arrivals.get(request.attempt, [])
+        if arrivals and not request.route.repeatable:
+            keys.update(arrival["engine"].key for arrival in arrivals)
+        else:
+            keys.update(engine.key for engine in self.all_engines)
+        if request.route.keyed:
+            keys.add("store")
+        return self.touches("pause", request.sent - 0.5, end) or any(
+            harmed in keys and first <= end and last >= begin
+            for harmed, first, last in self.spans)
+
+    def excuse(self, request):
+        """Why a request may have got no whole answer, or an empty text."""
+        arrivals = self.arrivals.get(request.attempt, [])
+        if request.end >= request.sent + request.limit - DEADLINE_MARGIN_S:
+            return "deadline"
+        if not arrivals and request.end - request.sent <= CROSSING_S:
+            return "crossed"
+        if request.launch.terms:
+            term = request.launch.terms[0]
+            late = any(arrival["end"] is None or
+                       arrival["end"] >= term + GRACE_S * 5 / 6
+                       for arrival in arrivals)
+            if late and request.sent <= term + LATE_SEND_S:
+                return "at work late in the grace time"
+        return ""
+
+    def judge(self):
+        """LOST, of all requests that have ended."""
+        for request in self.requests:
+            terms = request.launch.terms
+            around = bool(terms) and request.end >= terms[0]
+            self.around += around
+            if self.harmed(request):
+                continue
+            self.judged += 1
+            self.judged_around += around
+            if request.outcome == "answer":
+                continue
+            reason = self.excuse(request)
+            if reason:
+                self.excused[reason] = self.excused.get(reason, 0) + 1
+                continue
+            text = (f"{request.attempt} at host-{request.host.number}: "
+                    f"{request.outcome} after "
+                    f"{request.end - request.sent:.3f} s, sent at "
+                    f"{request.sent - self.begun:.3f}")
+            if terms:
+                text += f", {request.sent - terms[0]:.3f} s after SIGTERM"
+            for arrival in self.arrivals.get(request.attempt, []):
+                ended = arrival["end"]
+                text += (f"; {arrival['engine'].id} from "
+                         f"{arrival['begin'] - self.begun:.3f} to "
+                         f"{ended and round(ended - self.begun, 3)}")
+            self.problem("LOST", text)
+
+    async def ask_model(self, crashing):
+        """One request to the model service; no two are alike."""
+        rng = self.rng
+        parts = [f"{ModelEngine.SHARED_PART}:800"]
+        if rng.random() < 0.7:
+            parts.append(f"{rng.choice(['91bd3f06', '91bd3f07'])}:410")
+        if crashing:
+            parts.append(f"{ModelEngine.CRASHING_PART}:120")
+        parts.append(f"{rng.getrandbits(32):08x}:{rng.randint(50, 400)}")
+        return await self.ask(
+            "chat", rng.choice(self.hosts), {}, rng.uniform(0.1, 0.5), {
+                "X-Model": "tiles",
+                "X-Token-Count": f"1460,{rng.randint(40, 120)}",
+                "X-Prompt-Prefix": ",".join(parts)})
+
+    async def check_crashes(self):
+        """CRASH, in a phase without other faults."""
+        self.model_engines = [ModelEngine(self, n) for n in range(8)]
+        self.all_engines += self.model_engines
+        for engine in self.model_engines:
+            await engine.start()
+        await asyncio.sleep(2)
+        sound, done = [], False
+
+        async def sound_client():
+            while not done:
+                sound.append(await self.ask_model(False))
+                await asyncio.sleep(self.rng.uniform(0.05, 0.25))
+        clients = [asyncio.create_task(sound_client()) for _ in range(8)]
+        await asyncio.sleep(5)
+        begun, crashing = now(), []
+        until = begun + 12
+        while now() < until and (len(self.crashes) < 5 or
+                                 now() < self.crashes[4] + 16):
+            if len(self.crashes) >= 5:
+                until = self.crashes[4] + 16
+            crashing.append(asyncio.create_task(self.ask_model(True)))
+            await asyncio.sleep(self.rng.uniform(0.5, 1.5) *
+                                CRASH_REQUEST_INTERVAL_S)
+        done = True
+        await asyncio.gather(*clients, *crashing)
+
+        def share(some):
+            return sum(r.status == 200 for r in some) / max(1, len(some))
+        before = share([r for r in sound if r.end < begun])
+        self.crash_summary = (
+            f"{len(crashing)} requests crashed {len(self.crashes)} engines, "
+            f"sound ones served: {before:.2f} before")
+        if before < 0.9:
+            self.problem("CRASH", f"only {before:.2f} of the sound requests "
+                                  "were served before the first crash")
+        if len(self.crashes) < 5:
+            return
+        fifth = self.crashes[4]
+        late = [t for t in self.crash_arrivals if t > fifth + CONTACT_S]
+        after = share([r for r in sound if r.sent and r.sent > fifth + 6])
+        self.crash_summary += f", {after:.2f} after; {len(late)} late arrivals"
+        if len(late) > MAX_LATE_CRASHES:
+            self.problem("CRASH", f"{len(late)} requests that crash engines "
+                                  "reached some later than "
+                                  f"{CONTACT_S} s after the fifth crash")
+        if after < before / 2:
+            self.problem("CRASH", f"{after:.2f} of the sound requests were "
+                                  f"served after five crashes, {before:.2f} "
+                                  "before")
+
+    async def run_phases(self):
+        """Calm phases with planned work alone, and storms. Their schedule
+        depends on the seed alone, not on what callers and engines do."""
+        rng, end, work, calm = self.schedule, now() + self.seconds, [], True
+        while now() < end:
+            phase_end = min(end, now() + (rng.uniform(9, 14) if calm else
+                                          rng.uniform(5, 8)))
+            self.spared = set() if calm else set(
+                rng.sample(self.hosts, len(self.hosts) // 2) +
+                rng.sample(self.engines, len(self.engines) // 2))
+            self.note("calm phase" if calm else "storm")
+            while now() < phase_end:
+                one = random.Random(rng.getrandbits(64))
+                work.append(asyncio.create_task(
+                    self.plan(one) if calm else self.fault(one)))
+                await asyncio.sleep(rng.uniform(0.5, 3) if calm else
+                                    rng.uniform(0.1, 1.2))
+            calm = not calm
+        self.only_short = True
+        await asyncio.gather(*work)
+        await asyncio.gather(*self.tasks)
 
     async def run(self, base):
         server = await asyncio.start_server(self.store.serve, "127.0.0.1", 0)
         self.store_port = server.sockets[0].getsockname()[1]
         self.engines = [Engine(self, number) for number in range(4)]
+        self.all_engines = list(self.engines)
         for engine in self.engines:
             await engine.start()
         self.write_config()
         self.hosts = [Host(self, number, base + 5 * number)
-                      for number in range(HOSTS)]
+                      for number in range(self.host_count)]
         for host in self.hosts:
             await host.start()
-        tasks = [asyncio.create_task(self.keep_running())]
-        tasks += [asyncio.create_task(self.client(n)) for n in range(12)]
+        tasks = [asyncio.create_task(host.keep_running())
+                 for host in self.hosts]
+        tasks.append(asyncio.create_task(self.watch_pauses()))
+        tasks += [asyncio.create_task(self.client(SHORT_KINDS))
+                  for _ in range(12)]
+        tasks += [asyncio.create_task(self.client(LONG_KINDS))
+                  for _ in range(8)]
+        tasks += [asyncio.create_task(self.stop_client())
+                  for _ in range(4 * self.host_count)]
         await asyncio.sleep(2)
-        end, faults = now() + self.seconds, []
-        while now() < end:
-            faults.append(asyncio.create_task(self.fault()))
-            await asyncio.sleep(self.rng.uniform(0.1, 1.2))
-        await asyncio.gather(*faults)
+        await self.run_phases()
         calm, before = now(), self.served
         while self.served < before + 20 and now() < calm + 10:
             await asyncio.sleep(0.1)
         if self.served < before + 20:
             self.problem("SERVED", f"{self.served - before} answers in 10 s "
                                    "after the last fault")
+        if self.crash_parts:
+            await self.check_crashes()
+            await asyncio.gather(*self.tasks)
         self.ending = True
         await asyncio.gather(*tasks)
         for host in self.hosts:
             host.send(signal.SIGCONT)
             host.send(signal.SIGKILL)
-            host.process.wait()
+            host.launch.process.wait()
+        self.judge()
 
 
 def end_at_once(number, _):
@@ -538,10 +1199,10 @@
     os._exit(128 + number)
 
 
-def free_block(base):
+def free_block(base, hosts):
     """The first block of ports for all hosts that nobody listens on, so that
     soaks that run side by side do not take each other's."""
-    step = 5 * HOSTS
+    step = 5 * hosts
     for start in range(base, base + 100 * step, step):
         sockets = []
         try:
@@ -566,26 +1227,42 @@
     parser.add_argument("--seconds", type=float, default=10)
     parser.add_argument("--keep", help="folder for the logs of failed seeds")
     parser.add_argument("--port", type=int, default=21000)
+    parser.add_argument("--hosts", type=int, default=5)
+    parser.add_argument("--program", default=PROGRAM)
+    parser.add_argument("--crash-parts", action="store_true",
+                        help="check CRASH too")
     options = parser.parse_args()
-    failed = 0
+    failed, around, judged = 0, 0, 0
     for seed in range(options.seed, options.seed + options.seeds):
         folder = tempfile.mkdtemp(prefix=f"soak-{seed}-", dir=options.keep)
-        soak = Soak(seed, options.seconds, folder)
+        soak = Soak(seed, options, folder)
         try:
-            base = options.port + seed % 50 * 5 * HOSTS
-            asyncio.run(soak.run(free_block(base)))
+            base = options.port + seed % 50 * 5 * options.hosts
+            asyncio.run(soak.run(free_block(base, options.hosts)))
         finally:
-            for host in getattr(soak, "hosts", []):
-                if host.process and host.process.poll() is None:
-                    host.process.kill()
+            for process in LAUNCHED:
+                if process.poll() is None:
+                    process.kill()
         verdict = "failed" if soak.problems else "passed"
-        print(f"seed {seed}: {verdict}, {soak.served} of {soak.asked} served")
+        around += soak.around
+        judged += soak.judged_around
+        print(f"seed {seed}: {verdict}, {soak.served} of {soak.asked} served; "
+              f"LOST judged {soak.judged}, around stops {soak.judged_around} "
+              f"of {soak.around}, excused {soak.excused}")
+        if soak.crash_summary:
+            print(f"  {soak.crash_summary}")
         for problem in soak.problems[:10]:
             print(f"  {problem}")
         if soak.problems:
             failed += 1
-            print(f"  logs: {folder}")
+            print(f"  logs: {folder}", flush=True)
+        else:
+            shutil.rmtree(folder)
     print(f"{options.seeds - failed} passed, {failed} failed")
+    if 3 * judged < around or around == 0:
+        print(f"CHECKED: LOST judged {judged} of {around} requests around "
+              "stops, under a third")
+        return 1
     return 1 if failed else 0
 
 
