daemon: signals are handled before a hosted process accepts callers

Callers that had connected lost their requests.

Cause: the signal sets were created after the host, which listens from its creation on. With a signal at the write of host_started SIGTERM ended the process with 143 and SIGHUP with 129 (traced by injecting the signal there).

--- a/packages/daemon/program/bluebellraild.cpp
+++ b/packages/daemon/program/bluebellraild.cpp
@@ -49,6 +49,9 @@
 // Runs an entry host on the hosted platform.
 int RunHosted(const edge::edge_settings& settings) {
   boost::asio::io_context context;
+  // Before the host listens, so that no signal ends a process that has callers.
+  boost::asio::signal_set stops(context, SIGTERM, SIGINT);
+  boost::asio::signal_set reloads(context, SIGHUP);
   asio_clock clock(context);
   edge::edge_host* started = nullptr;
   const platform::hosted_dialect dialect;
@@ -64,11 +67,9 @@
   }
   started = host->get();
   started->OnStopped([&context] { context.stop(); });
-  boost::asio::signal_set stops(context, SIGTERM, SIGINT);
   stops.async_wait([started](const boost::system::error_code& failure, int) {
     if (!failure) started->Stop();
   });
-  boost::asio::signal_set reloads(context, SIGHUP);
   std::function<void()> await_reload = [&] {
     reloads.async_wait([&](const boost::system::error_code& failure, int) {
       if (failure) return;
--- a/packages/daemon/tests/hosted_stop_test.cpp
+++ b/packages/daemon/tests/hosted_stop_test.cpp
@@ -2,11 +2,14 @@
 #include <unistd.h>
 
 #include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
 #include <thread>
 
+#include "base/address.h"
 #include "test_processes.h"
 
 namespace bluebell::daemon {
@@ -30,6 +33,15 @@
                          "retry_slack = 50\nretry_ratio = 0.2\n";
 }
 
+bool AcceptsConnections(const std::string& address) {
+  const auto target = ParseAddress(address);
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::socket socket(io);
+  boost::system::error_code failure;
+  socket.connect(*target, failure);
+  return !failure;
+}
+
 // Guards against memory that is used after it was freed when the process ends
 // with requests that wait: callers ask until the process is gone.
 TEST(hosted_stop, EndsCleanlyWithOpenRequests) {
@@ -61,5 +73,28 @@
   ::unlink((settings + ".log").c_str());
 }
 
+// Guards against a process that a signal ends at its start although it accepts
+// callers already.
+TEST(hosted_stop, SignalRightAfterTheStartIsHandled) {
+  const std::string settings =
+      testing::TempDir() + "/hosted-" + std::to_string(::getpid()) + ".ini";
+  for (int round = 0; round < 20; ++round) {
+    const std::string callers = AllocateAddress();
+    WriteSettings(settings, callers);
+    child_process host(
+        {BLUEBELL_BIN_DIR "/bluebellraild", "--hosted", "--config", settings},
+        settings + ".log");
+    const auto deadline = std::chrono::steady_clock::now() + seconds(20);
+    while (!AcceptsConnections(callers) &&
+           std::chrono::steady_clock::now() < deadline) {
+    }
+    host.Signal(SIGHUP);
+    std::this_thread::sleep_for(milliseconds(20));
+    EXPECT_TRUE(host.running()) << "round " << round;
+  }
+  ::unlink(settings.c_str());
+  ::unlink((settings + ".log").c_str());
+}
+
 }  // namespace
 }  // namespace bluebell::daemon
