--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -15,7 +15,7 @@
 scripts/check-wire-names.sh
 scripts/lint.sh
 run_tests build
-python3 soak/soak.py --seed 1 --seeds 3 --seconds 15
+python3 soak/soak.py --seed 1 --seeds 2 --seconds 15 --crash-parts
 scripts/build.sh sanitize
 run_tests build-sanitize
 if [ -n "$known_red" ]; then
