edge: quarantined prompt parts outlast a restart of all hosts

What callers saw: hosts learn which prompt parts crash engines and exchange the evidence in digests, in memory only. When all hosts were killed at once it was lost, and up to three more requests with the part reached engines, each ending one and every other request there.

Cause: the quarantine lived in the processes alone, and hosts have no disks.

Now the first two hosts of the ranking write each newly quarantined part that was never answered to the platform's object store, with the wall time of its newest crash; each host reads the list once after its start and quarantines the parts in it for the rest of their ten minutes. The read has a coroutine of its own, so requests do not wait for it; failed calls are logged and repeated after 0.3 to 10 s, writes for as long as the part is quarantined. A restored part is one crash without an engine that stands for three, and the larger count of restored and reported crashes is used, since they may be the same.

The list cannot grow without end: a writer reads it first, removes the parts whose time is over (by revision, so that one stored anew stays) and keeps at most 100. Hosts that only start remove nothing: after a restart of a large fleet all of them find the same expired parts. Names of objects are digests of the parts' ids, which callers choose; ids are stored in hex, up to 1024 bytes.

A quarantine that is renewed after it expired is now reported by TakeQuarantined again. So far it was reported once per process, and the renewed one would not have been stored or logged.

Cost: one serializable list (a tenth of a read) for each start of a host; for each part at most two lists and two writes. The second writer mostly finds the part in the list and writes nothing.

Ruled out: writing evidence at every crash (several writes for each crash, of parts that are mostly innocent); a lease for the writer (two writes of the same object agree, the second is "already exists"); storing parts that were answered before (may be innocent, and are tested again after seconds, which a restored one is not); deletion by every host that lists.

--- a/packages/base/clock.h
+++ b/packages/base/clock.h
@@ -27,7 +27,8 @@
   /// Monotonic time that includes the time a machine was suspended, for every
   /// interval and deadline.
   virtual time_point now() const = 0;
-  /// Calendar time, only for output and the hybrid logical clock.
+  /// Calendar time, only for output, stored times and the hybrid logical
+  /// clock.
   virtual wall_time_point wall_now() const = 0;
   /// Calls `callback` once, `delay` from now, unless the handle is destroyed
   /// before. A callback may destroy its own handle.
--- a/packages/edge/deployment_store.h
+++ b/packages/edge/deployment_store.h
@@ -9,13 +9,15 @@
 #include "base/result.h"
 #include "serving/active_hosts.h"
 #include "serving/engine_record.h"
+#include "serving/part_quarantine.h"
 #include "serving/placement_lease.h"
 #include "serving/serving_config.h"
 
 namespace bluebell::edge {
 
 /// Persistent store shared by the hosts: the operator's configuration, the
-/// endpoint records, the placement lease and the list of hosts.
+/// endpoint records, the placement lease, the list of hosts and the prompt
+/// parts that are quarantined.
 ///
 /// Each call takes at most the store timeout. Errors: `kUnavailable` (nothing
 /// was done), `kOutcomeUnknown` (a write may take effect, now or later),
@@ -47,6 +49,17 @@
                                   boost::asio::yield_context yield) = 0;
   virtual result<std::vector<serving::host_entry>> ListHosts(
       boost::asio::yield_context yield) = 0;
+
+  /// Returns the stored parts; the answer may be seconds old.
+  virtual result<std::vector<serving::stored_part>> ListQuarantined(
+      boost::asio::yield_context yield) = 0;
+  /// Stores a part; success if it is stored already. `kInvalidArgument`: its id
+  /// is too long to be stored.
+  virtual result<void> WriteQuarantined(const serving::stored_part& part,
+                                        boost::asio::yield_context yield) = 0;
+  /// Removes the listed revision of a part; success if it is gone or replaced.
+  virtual result<void> RemoveQuarantined(const serving::stored_part& part,
+                                         boost::asio::yield_context yield) = 0;
 };
 
 }  // namespace bluebell::edge
--- a/packages/edge/edge_host.cpp
+++ b/packages/edge/edge_host.cpp
@@ -9,6 +9,7 @@
 #include "edge/edge_state.h"
 #include "edge/pause.h"
 #include "edge/placement_runner.h"
+#include "edge/quarantine_sync.h"
 #include "edge/request_relay.h"
 #include "edge/store_sync.h"
 #include "gateway/http_server.h"
@@ -89,8 +90,9 @@
 }
 
 // Logs engines that become slow or start to fail, their recovery, and prompt
-// parts that are quarantined.
-void LogChanges(edge_state& state, boost::asio::yield_context yield) {
+// parts that are quarantined; these are stored.
+void LogChanges(edge_state& state, quarantine_sync& quarantine,
+                boost::asio::yield_context yield) {
   while (true) {
     Pause(state.io, kChangeLogInterval, yield);
     for (const auto& change : state.fleet.TakeHealthChanges()) {
@@ -102,6 +104,7 @@
     }
     for (const auto& part : state.parts.TakeQuarantined()) {
       state.log.Write("part_quarantined", {{"part", part.value()}});
+      quarantine.OnQuarantined(part);
     }
   }
 }
@@ -114,10 +117,12 @@
        deployment_store& store)
       : state(context, source, settings, dialect, store, NewIncarnation(),
               std::random_device()()),
-        sync(state) {}
+        sync(state),
+        quarantine(state) {}
 
   edge_state state;
   store_sync sync;
+  quarantine_sync quarantine;
   std::unique_ptr<digest_exchange> exchange;
   std::unique_ptr<placement_runner> placement;
   std::unique_ptr<http_server> callers;
@@ -222,7 +227,10 @@
   gateway::SpawnTask(
       context, [host](auto yield) { host->placement->RunPlanning(yield); });
   gateway::SpawnTask(context,
-                     [host](auto yield) { LogChanges(host->state, yield); });
+                     [host](auto yield) { host->quarantine.Run(yield); });
+  gateway::SpawnTask(context, [host](auto yield) {
+    LogChanges(host->state, host->quarantine, yield);
+  });
   host->state.log.Write("host_started",
                         {{"incarnation", host->state.incarnation},
                          {"zone", settings.zone.value()},
--- a/packages/edge/edge_state.h
+++ b/packages/edge/edge_state.h
@@ -30,7 +30,8 @@
 
 class relayed_request;
 
-/// State shared by the components of one entry host. None of it is persisted.
+/// State shared by the components of one entry host. None of it is
+/// persisted, except for quarantined prompt parts (`quarantine_sync`).
 struct edge_state {
   edge_state(boost::asio::io_context& context, clock& source,
              edge_settings values, const request_dialect& wire,
--- a/packages/serving/part_quarantine.cpp
+++ b/packages/serving/part_quarantine.cpp
@@ -5,6 +5,13 @@
 #include <utility>
 
 namespace bluebell::serving {
+namespace {
+
+// The crashes of a stored part are not stored; one crash without an engine
+// stands for them.
+const endpoint_id kRestored;
+
+}  // namespace
 
 void part_quarantine::OnCrash(const std::vector<prompt_part_id>& parts,
                               const endpoint_id& engine,
@@ -12,6 +19,7 @@
                               clock::time_point crashed_at) {
   for (const auto& part : parts) {
     auto& entry = Touch(part);
+    entry.noted = entry.noted && IsQuarantined(entry);
     AddCrash(entry, {engine, crashed_at, sent_at});
     NoteQuarantine(part, entry);
   }
@@ -89,6 +97,7 @@
   const auto now = clock_.now();
   for (const auto& report : reported) {
     auto& entry = Touch(report.part);
+    entry.noted = entry.noted && IsQuarantined(entry);
     for (const auto& seen : report.crashes) {
       AddCrash(entry, {seen.engine, now - seen.age, now - seen.sent_age});
     }
@@ -104,6 +113,26 @@
   return std::exchange(quarantined_, {});
 }
 
+std::optional<clock::duration> part_quarantine::UnansweredAge(
+    const prompt_part_id& part) const {
+  const auto found = records_.find(part);
+  if (found == records_.end() || found->second.answered ||
+      !IsQuarantined(found->second)) {
+    return std::nullopt;
+  }
+  return clock_.now() - found->second.crashes.back().at;
+}
+
+bool part_quarantine::Restore(const prompt_part_id& part, clock::duration age) {
+  if (age >= kQuarantineTime || age < -kMaxClockError) return false;
+  auto& entry = Touch(part);
+  if (IsQuarantined(entry)) return true;
+  const auto newest = clock_.now() - std::max(age, clock::duration(0));
+  AddCrash(entry, {kRestored, newest, newest});
+  entry.noted = IsQuarantined(entry);
+  return true;
+}
+
 void part_quarantine::NoteQuarantine(const prompt_part_id& part,
                                      record& entry) {
   const bool now_quarantined = IsQuarantined(entry);
@@ -156,15 +185,21 @@
 
 int part_quarantine::UnrefutedCrashes(const record& entry) const {
   int moments = 0;
+  int restored = 0;
   std::optional<clock::time_point> last;
   for (const auto& seen : entry.crashes) {
     if (clock_.now() - seen.at > kCrashRetention) continue;
     if (entry.answered && seen.sent_at <= *entry.answered) continue;
+    if (seen.engine == kRestored) {
+      restored = kCrashLimit;
+      continue;
+    }
     if (last && seen.at - *last < kSameMoment) continue;
     last = seen.at;
     ++moments;
   }
-  return moments;
+  // Both may be the same crashes.
+  return std::max(moments, restored);
 }
 
 bool part_quarantine::HadAnswers(const record& entry) const {
--- a/packages/serving/part_quarantine.h
+++ b/packages/serving/part_quarantine.h
@@ -15,6 +15,7 @@
 /// the clocks of hosts differ.
 struct part_evidence {
   struct crash {
+    /// Empty for a part that was restored.
     endpoint_id engine;
     clock::duration age{0};
     /// Time since the request with the part was sent to the engine.
@@ -28,6 +29,15 @@
   std::optional<clock::duration> answered_age;
 };
 
+/// A quarantined part as it is stored, so that it outlasts a restart of all
+/// hosts.
+struct stored_part {
+  prompt_part_id part;
+  clock::wall_time_point crashed_at;
+  /// Revision of the stored record; 0 if it is not stored yet.
+  std::uint64_t revision = 0;
+};
+
 enum class part_verdict {
   kAllowed,
   /// A part is under suspicion, and the request is admitted to test it.
@@ -48,7 +58,8 @@
 /// A part that was answered before needs more crashes, and is tested again by
 /// single requests at growing intervals, since engines may crash faster than
 /// answers arrive. Hosts exchange their evidence and merge it, so that a host
-/// which has just started learns what all others know.
+/// which has just started learns what all others know. What a restart of all
+/// hosts would lose is restored from the store.
 class part_quarantine {
  public:
   part_quarantine(const clock& source, std::uint64_t seed)
@@ -71,9 +82,18 @@
   /// Evidence for the other hosts: the parts with the most crashes.
   std::vector<part_evidence> Evidence() const;
   void OnEvidence(const std::vector<part_evidence>& reported);
-  /// Parts that were quarantined since the last call.
+  /// Parts that were quarantined since the last call, restored ones aside.
   std::vector<prompt_part_id> TakeQuarantined();
 
+  /// Time since the newest crash of a quarantined part, if no request with it
+  /// is known to have been answered; none for other parts.
+  std::optional<clock::duration> UnansweredAge(
+      const prompt_part_id& part) const;
+  /// Quarantines a part whose newest crash happened `age` ago by the wall clock
+  /// of another process; a negative age counts as 0. Returns false if the
+  /// quarantine is over, or `age` is so far below 0 that it cannot be used.
+  bool Restore(const prompt_part_id& part, clock::duration age);
+
  private:
   // Crashes at different engines within this time count once: several engines
   // that are lost together say nothing about a part that is in use at each.
@@ -93,6 +113,8 @@
   // A trial is over by then.
   static constexpr std::chrono::seconds kTrialTime{3};
   static constexpr std::chrono::minutes kCrashRetention{60};
+  // Wall clocks of hosts differ by less.
+  static constexpr std::chrono::seconds kMaxClockError{60};
   static constexpr std::chrono::seconds kAnswerRetention{60};
   // Evidence is reported for this long, or for as long as the part is
   // quarantined.
@@ -101,6 +123,7 @@
   static constexpr std::size_t kMaxReported = 16;
 
   struct crash {
+    /// Empty for a part that was restored.
     endpoint_id engine;
     clock::time_point at;
     clock::time_point sent_at;
@@ -113,7 +136,7 @@
     clock::time_point trial_until;
     /// Spreads the trials of different hosts.
     double trial_spread = 1;
-    /// Whether the quarantine was returned by `TakeQuarantined`.
+    /// Whether the quarantine was returned by `TakeQuarantined`, or restored.
     bool noted = false;
   };
 
--- a/packages/serving/tests/part_quarantine_test.cpp
+++ b/packages/serving/tests/part_quarantine_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <map>
 #include <memory>
 #include <ostream>
 
@@ -168,6 +169,68 @@
   EXPECT_TRUE(parts_.Evidence().empty());
 }
 
+// Guards against losing what was learned when all hosts restart: a restored
+// part is refused for as long as a learned one, and other hosts learn of it.
+TEST_F(part_quarantine_test, RestoredPartIsQuarantined) {
+  EXPECT_TRUE(parts_.Restore(prompt_part_id("bad"), minutes(4)));
+  EXPECT_EQ(parts_.Admit(Parts({"a", "bad"})), part_verdict::kRefused);
+  EXPECT_TRUE(parts_.TakeQuarantined().empty());
+  part_quarantine other(clock_, 2);
+  other.OnEvidence(parts_.Evidence());
+  EXPECT_EQ(other.Admit(Parts({"bad"})), part_verdict::kRefused);
+  EXPECT_EQ(other.UnansweredAge(prompt_part_id("bad")), minutes(4));
+  clock_.Advance(minutes(6));
+  EXPECT_EQ(parts_.Admit(Parts({"bad"})), part_verdict::kAllowed);
+  EXPECT_EQ(other.Admit(Parts({"bad"})), part_verdict::kAllowed);
+  Crash(parts_, Parts({"bad"}), 1);
+  EXPECT_EQ(parts_.Admit(Parts({"bad"})), part_verdict::kRefused);
+  EXPECT_EQ(parts_.TakeQuarantined(), Parts({"bad"}));
+}
+
+// Guards against a quarantine without end by a wrong wall clock, and against
+// one that ends at once because the clock was set back.
+TEST_F(part_quarantine_test, RestoredAgeIsChecked) {
+  EXPECT_TRUE(parts_.Restore(prompt_part_id("ahead"), seconds(-5)));
+  EXPECT_EQ(parts_.UnansweredAge(prompt_part_id("ahead")), seconds(0));
+  EXPECT_FALSE(parts_.Restore(prompt_part_id("old"), minutes(10)));
+  EXPECT_FALSE(parts_.Restore(prompt_part_id("future"), minutes(-10)));
+  EXPECT_EQ(parts_.Admit(Parts({"old", "future"})), part_verdict::kAllowed);
+  clock_.Advance(minutes(10));
+  EXPECT_EQ(parts_.Admit(Parts({"ahead"})), part_verdict::kAllowed);
+}
+
+// Guards against counting the crashes of a restored part again when other hosts
+// report them, and against one that answers cannot clear.
+TEST_F(part_quarantine_test, CrashesOfARestoredPartCountOnce) {
+  part_quarantine other(clock_, 2);
+  Answer(parts_, Parts({"a"}));
+  Crash(parts_, Parts({"a"}), 4);
+  EXPECT_TRUE(other.Restore(prompt_part_id("a"), milliseconds(150)));
+  other.OnEvidence(parts_.Evidence());
+  parts_.OnEvidence(other.Evidence());
+  EXPECT_EQ(parts_.Admit(Parts({"a"})), part_verdict::kAllowed);
+  EXPECT_EQ(other.Admit(Parts({"a"})), part_verdict::kAllowed);
+}
+
+TEST_F(part_quarantine_test, AnswerClearsARestoredPart) {
+  EXPECT_TRUE(parts_.Restore(prompt_part_id("a"), seconds(30)));
+  Answer(parts_, Parts({"a"}));
+  EXPECT_EQ(parts_.Admit(Parts({"a"})), part_verdict::kAllowed);
+  EXPECT_EQ(parts_.UnansweredAge(prompt_part_id("a")), std::nullopt);
+  EXPECT_TRUE(parts_.Restore(prompt_part_id("a"), seconds(30)));
+  EXPECT_EQ(parts_.Admit(Parts({"a"})), part_verdict::kAllowed);
+}
+
+// Guards against storing parts that may be innocent.
+TEST_F(part_quarantine_test, OnlyUnansweredPartsHaveAnAge) {
+  Answer(parts_, Parts({"a"}));
+  Crash(parts_, Parts({"a", "bad"}), 5);
+  EXPECT_EQ(parts_.UnansweredAge(prompt_part_id("a")), std::nullopt);
+  EXPECT_EQ(parts_.UnansweredAge(prompt_part_id("b")), std::nullopt);
+  clock_.Advance(seconds(2));
+  EXPECT_EQ(parts_.UnansweredAge(prompt_part_id("bad")), seconds(2));
+}
+
 // One kind of replay.
 struct replay_case {
   const char* name;
@@ -182,8 +245,10 @@
   double bad_per_s;
   /// All engines are lost together, twice.
   bool mass_crash;
-  /// All hosts restart at this time, 0 for never; they are in touch 3 s later.
+  /// All hosts restart at these times, 0 for never; they are in touch 3 s
+  /// later.
   int restart_ms = 0;
+  int second_restart_ms = 0;
 };
 
 void PrintTo(const replay_case& printed, std::ostream* out) {
@@ -215,14 +280,12 @@
       if (case_.mass_crash && (now_ms_ == 8000 || now_ms_ == 14000)) {
         for (int engine = 0; engine < kEngines; ++engine) Crash(engine);
       }
-      if (case_.restart_ms > 0 && now_ms_ == case_.restart_ms) {
-        for (auto& host : hosts_) {
-          host = std::make_unique<part_quarantine>(clock_, random_());
-        }
-        runs_.clear();
+      for (const int restart : {case_.restart_ms, case_.second_restart_ms}) {
+        if (restart > 0 && now_ms_ == restart) Restart();
       }
       Progress();
       if (now_ms_ % case_.exchange_ms == 0) Exchange();
+      if (now_ms_ % 1000 == 0) Store();
     }
   }
 
@@ -293,9 +356,8 @@
     if (up.empty()) return;
     const int engine = up[static_cast<std::size_t>(
         Uniform(0, static_cast<int>(up.size()) - 1))];
-    const bool in_touch = case_.restart_ms == 0 || now_ms_ < case_.restart_ms ||
-                          now_ms_ > case_.restart_ms + 3000;
-    if (bad && crashes >= 5 && now_ms_ > fifth_crash_ms_ + 3000 && in_touch) {
+    if (bad && crashes >= 5 && now_ms_ > fifth_crash_ms_ + 3000 &&
+        IsInTouch()) {
       ++late_bad;
     }
     // Fewer engines answer later.
@@ -305,6 +367,35 @@
                      first + Uniform(200, 2500)});
   }
 
+  bool IsInTouch() const {
+    for (const int restart : {case_.restart_ms, case_.second_restart_ms}) {
+      if (restart > 0 && now_ms_ >= restart && now_ms_ <= restart + 3000) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  void Restart() {
+    for (auto& host : hosts_) {
+      host = std::make_unique<part_quarantine>(clock_, random_());
+      for (const auto& [part, crashed_at] : stored_) {
+        host->Restore(part, clock_.now() - crashed_at);
+      }
+    }
+    runs_.clear();
+  }
+
+  // The first two hosts store new parts.
+  void Store() {
+    for (std::size_t host = 0; host < 2; ++host) {
+      for (const auto& part : hosts_[host]->TakeQuarantined()) {
+        const auto age = hosts_[host]->UnansweredAge(part);
+        if (age) stored_.emplace(part, clock_.now() - *age);
+      }
+    }
+  }
+
   void Crash(int engine) {
     up_at_[engine] = now_ms_ + 3000;
     ++incarnation_;
@@ -366,6 +457,8 @@
   std::vector<std::unique_ptr<part_quarantine>> hosts_;
   std::vector<int> up_at_;
   std::vector<run> runs_;
+  /// Parts in the store, with the time of the newest crash.
+  std::map<prompt_part_id, clock::time_point> stored_;
 };
 
 // Replays a day in which one part crashes engines, or in which engines are lost
@@ -414,8 +507,13 @@
         replay_case{"all_restart", 6, 200, 1, false, 1.5, false, 15000},
         replay_case{"all_restart_frequent", 6, 200, 1, false, 10, false, 15000},
         replay_case{"all_restart_rare", 6, 200, 1, false, 0.5, false, 15000},
-        replay_case{"all_restart_ordinary", 6, 200, 1, true, 1.5, false,
-                    15000}),
+        replay_case{"all_restart_ordinary", 6, 200, 1, true, 1.5, false, 15000},
+        replay_case{"restart_twice", 6, 200, 1, false, 1.5, false, 15000,
+                    25000},
+        replay_case{"restart_twice_rare", 6, 200, 1, false, 0.5, false, 15000,
+                    25000},
+        replay_case{"restart_twice_frequent", 6, 200, 1, false, 10, false,
+                    15000, 25000}),
     [](const auto& tested) { return tested.param.name; });
 
 }  // namespace
