Merge the storage of quarantined prompt parts

Joined with the trials by two hosts and the lateness of digests: what was noted is the start of the quarantine, and trials are counted from it, so that a restored part is not tested at once.

--- a/packages/serving/part_quarantine.cpp
+++ b/packages/serving/part_quarantine.cpp
@@ -5,6 +5,13 @@
 #include <utility>
 
 namespace bluebell::serving {
+namespace {
+
+// The crashes of a stored part are not stored; one crash without an engine
+// stands for them.
+const endpoint_id kRestored;
+
+}  // namespace
 
 void part_quarantine::OnCrash(const std::vector<prompt_part_id>& parts,
                               const endpoint_id& engine,
@@ -12,6 +19,7 @@
                               clock::time_point crashed_at) {
   for (const auto& part : parts) {
     auto& entry = Touch(part);
+    if (!IsQuarantined(entry)) entry.quarantined_at.reset();
     AddCrash(entry, {engine, crashed_at, sent_at});
     UpdateQuarantine(part, entry);
   }
@@ -92,6 +100,7 @@
   const auto sent = clock_.now() - lateness;
   for (const auto& report : reported) {
     auto& entry = Touch(report.part);
+    if (!IsQuarantined(entry)) entry.quarantined_at.reset();
     for (const auto& seen : report.crashes) {
       AddCrash(entry, {seen.engine, sent - seen.age, sent - seen.sent_age});
     }
@@ -107,12 +116,32 @@
   return std::exchange(quarantined_, {});
 }
 
+std::optional<clock::duration> part_quarantine::UnansweredAge(
+    const prompt_part_id& part) const {
+  const auto found = records_.find(part);
+  if (found == records_.end() || found->second.answered ||
+      !IsQuarantined(found->second)) {
+    return std::nullopt;
+  }
+  return clock_.now() - found->second.crashes.back().at;
+}
+
+bool part_quarantine::Restore(const prompt_part_id& part, clock::duration age) {
+  if (age >= kQuarantineTime || age < -kMaxClockError) return false;
+  auto& entry = Touch(part);
+  if (IsQuarantined(entry)) return true;
+  const auto newest = clock_.now() - std::max(age, clock::duration(0));
+  AddCrash(entry, {kRestored, newest, newest});
+  entry.quarantined_at = clock_.now();
+  return true;
+}
+
 void part_quarantine::UpdateQuarantine(const prompt_part_id& part,
                                        record& entry) {
   if (!IsQuarantined(entry)) {
     entry.quarantined_at.reset();
   } else if (!entry.quarantined_at) {
-    entry.quarantined_at = clock_.now();
+    entry.quarantined_at = entry.crashes.back().at;
     quarantined_.push_back(part);
   }
 }
@@ -168,15 +197,21 @@
 
 int part_quarantine::UnrefutedCrashes(const record& entry) const {
   int moments = 0;
+  int restored = 0;
   std::optional<clock::time_point> last;
   for (const auto& seen : entry.crashes) {
     if (clock_.now() - seen.at > kCrashRetention) continue;
     if (entry.answered && seen.sent_at <= *entry.answered) continue;
+    if (seen.engine == kRestored) {
+      restored = kCrashLimit;
+      continue;
+    }
     if (last && seen.at - *last < kSameMoment) continue;
     last = seen.at;
     ++moments;
   }
-  return moments;
+  // Both may be the same crashes.
+  return std::max(moments, restored);
 }
 
 int part_quarantine::FailedTrials(const record& entry) const {
@@ -203,7 +238,9 @@
   for (int n = FailedTrials(entry); n > 0; --n) {
     interval *= kTrialIntervalGrowth;
   }
-  return now - entry.crashes.back().at >= interval * entry.trial_spread;
+  const auto last =
+      std::max(entry.crashes.back().at, entry.quarantined_at.value_or(now));
+  return now - last >= interval * entry.trial_spread;
 }
 
 }  // namespace bluebell::serving
