serving, edge: a stopping host with a short history counts its open requests

Cause: a host that has just started has seen only the requests that ended soon, so a long history was required.

Change: the age of the oldest open request on the route is a lower bound of the expected time, and a history of 2 s suffices.

--- a/packages/edge/relayed_request.h
+++ b/packages/edge/relayed_request.h
@@ -116,6 +116,8 @@
   int Urgency() const;
   void RecordFirstAnswer();
   std::string RouteKind() const;
+  // Age of the oldest open request on the same route.
+  clock::duration LongestOpen() const;
   // Time from the stop signal until the request was read; empty without one.
   std::string StopAgeText() const;
   milliseconds RetryJitter();
--- a/packages/edge/request_relay.cpp
+++ b/packages/edge/request_relay.cpp
@@ -69,7 +69,8 @@
   if (route_ == nullptr) return Refuse(404, "no_route", std::nullopt);
   const auto time_limit =
       std::min(route_->timeout, caller_.deadline.value_or(route_->timeout));
-  if (!host_.stop.Accepts(route_->name, time_limit, caller_.output_tokens)) {
+  if (!host_.stop.Accepts(route_->name, time_limit, caller_.output_tokens,
+                          LongestOpen())) {
     return Refuse(503, "stopping", kRetryNow);
   }
   if (!config_->accounts.empty() && !route_->open) {
@@ -304,6 +305,15 @@
   return route_->repeatable ? "repeatable" : "once";
 }
 
+clock::duration relayed_request::LongestOpen() const {
+  clock::duration longest{0};
+  for (const auto* other : host_.open_requests) {
+    if (other->route_->name != route_->name) continue;
+    longest = std::max(longest, host_.time.now() - other->received_at_);
+  }
+  return longest;
+}
+
 std::string relayed_request::StopAgeText() const {
   const auto begun = host_.stop.begun();
   return begun ? MillisecondText(received_at_ - *begun) : "";
--- a/packages/serving/part_quarantine.cpp
+++ b/packages/serving/part_quarantine.cpp
@@ -218,7 +218,7 @@
   if (!entry.quarantined_at) return 0;
   int failed = 0;
   for (const auto& seen : entry.crashes) {
-    if (seen.at - *entry.quarantined_at >= kLastCrashes) ++failed;
+    if (seen.at - *entry.quarantined_at >= kEarlierRequests) ++failed;
   }
   return failed;
 }
--- a/packages/serving/part_quarantine.h
+++ b/packages/serving/part_quarantine.h
@@ -106,16 +106,17 @@
   static constexpr int kCrashLimit = 3;
   static constexpr int kCrashLimitOfAnswered = 5;
   static constexpr std::size_t kMaxCrashes = 8;
-  // A part that was never answered is allowed again after this time; the next
-  // crash quarantines it again.
+  // A part is allowed again after this time without a crash; the next one
+  // quarantines it again.
   static constexpr std::chrono::minutes kQuarantineTime{10};
   // Interval until the first trial of a part that was answered before, and of
   // others, and its growth with each trial that ends in a crash.
   static constexpr std::chrono::seconds kTrialIntervalOfAnswered{5};
   static constexpr std::chrono::seconds kTrialInterval{20};
   static constexpr int kTrialIntervalGrowth = 4;
-  // Crashes by requests that were sent before the quarantine end by then.
-  static constexpr std::chrono::seconds kLastCrashes{2};
+  // Requests that were sent before the quarantine have ended by then; later
+  // crashes are those of trials.
+  static constexpr std::chrono::seconds kEarlierRequests{2};
   // A trial is over by then.
   static constexpr std::chrono::seconds kTrialTime{3};
   static constexpr std::chrono::minutes kCrashRetention{60};
--- a/packages/serving/stop_admission.cpp
+++ b/packages/serving/stop_admission.cpp
@@ -33,25 +33,24 @@
 
 bool stop_admission::Accepts(const std::string& route,
                              clock::duration time_limit,
-                             std::optional<std::int64_t> output_tokens) const {
+                             std::optional<std::int64_t> output_tokens,
+                             clock::duration longest_open) const {
   if (!begun_) return true;
   const auto now = clock_.now();
   if (now - *begun_ >= kAcceptPeriod) return false;
   const auto left = process_end_ - now;
   if (time_limit <= left) return true;
   if (now - *begun_ >= kUncertainPeriod) return false;
-  // A request that takes as long as `left` is seen only after that time.
-  const auto expected = ExpectedTime(route, output_tokens, left);
-  return expected && kMargin * *expected <= left;
+  const auto expected = ExpectedTime(route, output_tokens);
+  return expected && kMargin * std::max(*expected, longest_open) <= left;
 }
 
 std::optional<clock::duration> stop_admission::ExpectedTime(
-    const std::string& route, std::optional<std::int64_t> output_tokens,
-    clock::duration observed) const {
+    const std::string& route, std::optional<std::int64_t> output_tokens) const {
   const auto found = routes_.find(route);
   if (found == routes_.end()) return std::nullopt;
   const auto now = clock_.now();
-  if (now - found->second.since < observed) return std::nullopt;
+  if (now - found->second.since < kMinHistory) return std::nullopt;
   const auto size = Size(output_tokens);
   clock::duration longest{0};
   int comparable = 0;
--- a/packages/serving/stop_admission.h
+++ b/packages/serving/stop_admission.h
@@ -40,9 +40,11 @@
   /// When the host began to stop; none while it does not.
   std::optional<clock::time_point> begun() const { return begun_; }
   /// Whether a request that arrives now is accepted. `time_limit`: when its
-  /// time ends, counted from now.
+  /// time ends, counted from now. `longest_open`: age of the oldest request on
+  /// its route that has not ended.
   bool Accepts(const std::string& route, clock::duration time_limit,
-               std::optional<std::int64_t> output_tokens) const;
+               std::optional<std::int64_t> output_tokens,
+               clock::duration longest_open) const;
 
  private:
   // Requests that may outlast the process are accepted for this long. Beyond 3
@@ -53,8 +55,9 @@
   static constexpr double kMargin = 1.25;
   static constexpr std::chrono::seconds kMaxSampleAge{30};
   static constexpr std::size_t kMaxSamples = 128;
-  // With fewer comparable requests the time is unknown.
+  // With fewer comparable requests, or a shorter history, the time is unknown.
   static constexpr int kMinSamples = 8;
+  static constexpr std::chrono::seconds kMinHistory{2};
 
   struct sample {
     clock::time_point at;
@@ -67,11 +70,10 @@
   };
 
   // Longest time that a request is expected to take, from those on its route
-  // that stated at least half of its tokens; none if these are too few or were
-  // observed for less than `observed`.
+  // that stated at least half of its tokens; none if these are too few.
   std::optional<clock::duration> ExpectedTime(
-      const std::string& route, std::optional<std::int64_t> output_tokens,
-      clock::duration observed) const;
+      const std::string& route,
+      std::optional<std::int64_t> output_tokens) const;
 
   const clock& clock_;
   std::map<std::string, route_history> routes_;
