--- a/packages/edge/request_relay.cpp
+++ b/packages/edge/request_relay.cpp
@@ -69,7 +69,8 @@
   if (route_ == nullptr) return Refuse(404, "no_route", std::nullopt);
   const auto time_limit =
       std::min(route_->timeout, caller_.deadline.value_or(route_->timeout));
-  if (!host_.stop.Accepts(route_->name, time_limit, caller_.output_tokens,
+  if (host_.stop.begun() &&
+      !host_.stop.Accepts(route_->name, time_limit, caller_.output_tokens,
                           LongestOpen())) {
     return Refuse(503, "stopping", kRetryNow);
   }
