edge: log how an engine's answer is framed and where a stream was cut

A line of a request did not tell whether its answer had a length, chunks or ended with its connection, nor whether a cut stream ended inside an event or between two. request_end and send_end now hold framing, and the detail of a cut stream its place.

--- a/packages/edge/relayed_request.h
+++ b/packages/edge/relayed_request.h
@@ -8,6 +8,7 @@
 
 #include "edge/edge_state.h"
 #include "edge/engine_connections.h"
+#include "gateway/endpoint_connection.h"
 #include "gateway/response_writer.h"
 
 namespace bluebell::edge {
@@ -120,6 +121,8 @@
   clock::duration LongestOpen() const;
   // Time from the stop signal until the request was read; empty without one.
   std::string StopAgeText() const;
+  // Framing of the last engine's answer; empty without an answer.
+  std::string FramingText() const;
   milliseconds RetryJitter();
   milliseconds RetryDelay() { return kMinRetryDelay + RetryJitter(); }
   bool Refuse(int status, const char* reason,
@@ -192,6 +195,7 @@
   bool reused_ = false;
   /// Whether the send had a connection, so that it could reach the engine.
   bool reached_engine_ = false;
+  std::optional<gateway::body_framing> framing_;
   bool stream_broken_ = false;
   bool misdirected_ = false;
   int status_ = 0;
--- a/packages/edge/request_relay.cpp
+++ b/packages/edge/request_relay.cpp
@@ -320,6 +320,10 @@
   return begun ? MillisecondText(received_at_ - *begun) : "";
 }
 
+std::string relayed_request::FramingText() const {
+  return framing_ ? gateway::ToString(*framing_) : "";
+}
+
 milliseconds relayed_request::RetryJitter() {
   return milliseconds(
       std::uniform_int_distribution<int>(20, 200)(host_.random));
@@ -372,6 +376,7 @@
                         ? MillisecondText(*first_forwarded_at_ - received_at_)
                         : ""},
        {"gap_ms", last_event_at_ ? MillisecondText(longest_gap_) : ""},
+       {"framing", FramingText()},
        {"answer", ToString(sink_.progress())},
        {"connection", std::to_string(position.connection)},
        {"on_connection", std::to_string(position.requests)},
--- a/packages/edge/request_send.cpp
+++ b/packages/edge/request_send.cpp
@@ -203,6 +203,7 @@
   stream_broken_ = false;
   last_detail_.clear();
   misdirected_ = false;
+  framing_.reset();
   auto& connection = *lease.connection;
   engine_call call;
   call.engine = id;
@@ -236,6 +237,7 @@
   }
   if (answer_info.not_run) return OnNotRun(id, lease, *head, answer_info);
   ++runs_;
+  framing_ = connection.framing();
   first_answer_ = host_.time.now() - sent_at_;
   const bool success = head->status >= 200 && head->status < 300;
   if (route_->streaming && success && !StatesAnotherType(*head)) {
@@ -325,7 +327,11 @@
   while (true) {
     auto part = lease.connection->ReadSome(
         std::max(TimeLeft(), milliseconds(1)), yield_);
-    if (!part) return break_off(part.error().detail);
+    if (!part) {
+      return break_off(part.error().detail + (HoldsPartOfEvent(pending)
+                                                  ? " inside an event"
+                                                  : " between events"));
+    }
     if (part->empty()) break;
     const auto scanned = pending.size();
     pending += *part;
@@ -367,7 +373,7 @@
       return send_result::kCallerGone;
     }
   }
-  const bool unframed = lease.connection->ends_with_connection();
+  const bool unframed = framing_ == gateway::body_framing::kConnection;
   // An answer without type or events is whole if its framing says so.
   const bool may_be_plain =
       !sink_.started() && !unframed && head.fields.Find("Content-Type").empty();
@@ -435,6 +441,7 @@
                    {"engine", engine.value()},
                    {"outcome", ToString(result)},
                    {"reused", reused_ ? "yes" : "no"},
+                   {"framing", FramingText()},
                    {"detail", last_detail_},
                    {"sends", std::to_string(sends_)},
                    {"ms", MillisecondText(host_.time.now() - sent_at_)}});
--- a/packages/gateway/endpoint_connection.cpp
+++ b/packages/gateway/endpoint_connection.cpp
@@ -31,6 +31,18 @@
 
 }  // namespace
 
+const char* ToString(body_framing framing) {
+  switch (framing) {
+    case body_framing::kLength:
+      return "length";
+    case body_framing::kChunks:
+      return "chunks";
+    case body_framing::kConnection:
+      return "connection";
+  }
+  return "";
+}
+
 struct endpoint_connection::state {
   explicit state(asio::io_context& context) : stream(context) { Reset(); }
 
@@ -100,13 +112,16 @@
 
 void endpoint_connection::ExpectNextResponse() { state_->Reset(); }
 
-bool endpoint_connection::ends_with_connection() const {
-  return state_->parser->need_eof();
+body_framing endpoint_connection::framing() const {
+  if (state_->parser->need_eof()) return body_framing::kConnection;
+  return state_->parser->chunked() ? body_framing::kChunks
+                                   : body_framing::kLength;
 }
 
 bool endpoint_connection::reusable() const {
   const auto& parser = *state_->parser;
-  return parser.is_done() && parser.keep_alive() && !ends_with_connection() &&
+  return parser.is_done() && parser.keep_alive() &&
+         framing() != body_framing::kConnection &&
          state_->buffer.size() == 0;
 }
 
--- a/packages/gateway/endpoint_connection.h
+++ b/packages/gateway/endpoint_connection.h
@@ -11,6 +11,16 @@
 
 namespace bluebell::gateway {
 
+/// What tells the end of a response's body (RFC 9112, section 6.3).
+enum class body_framing {
+  kLength,
+  kChunks,
+  /// Neither a length nor chunks: the body ends with the connection.
+  kConnection,
+};
+
+const char* ToString(body_framing framing);
+
 /// A connection to an endpoint that carries one request at a time.
 ///
 /// The owner decides whether to reuse it: an idle connection may be dead
@@ -44,9 +54,8 @@
   /// Discards the parsed response and prepares for the next one, which the
   /// endpoint sends without another request.
   void ExpectNextResponse();
-  /// Whether the response whose head was read has neither a length nor chunks
-  /// and ends with the connection.
-  bool ends_with_connection() const;
+  /// Framing of the response whose head was read.
+  body_framing framing() const;
   /// Whether the response was read completely, the endpoint keeps the
   /// connection open, and no bytes followed the response.
   bool reusable() const;
