edge: an answer that ends with its connection needs an engine that runs on

What callers saw: the events that had arrived and the last chunk, or the first part of a plain answer with its length, as a whole answer, when the engine of an answer without length or chunks crashed between two events or inside the body.

Cause: the end of the connection was taken as the end of the answer. The kernel closes the connections of a process that ends in the same way, so the end of the connection proves nothing by itself; a length and a last chunk do.

Change: before such an answer is ended as whole, the relay connects to its engine. If the engine accepts, its process outlived the answer. If it refuses, or cannot be reached twice in 200 ms, the answer is broken off like one that was cut: resumed or repeated where the route allows it, else ended without the last chunk, or 502. Streams of this kind were probed before, too, but after their end was forwarded. One more connection an answer is the price, and only of answers without length and chunks.

Ruled out: passing the framing on, so that the caller's answer ends with the connection, too. The kill of a host would then look to its callers like the end of the answer. Breaking off all such answers: most are whole.

--- a/packages/edge/relayed_request.h
+++ b/packages/edge/relayed_request.h
@@ -66,7 +66,11 @@
   void OnEngineSurvived();
   // Records a crash, which the request may have caused, if the engine's address
   // refuses connections right after the request was lost.
-  void DetectCrash(const std::string& address);
+  void DetectCrash();
+  // Whether something shows that the answer that was read is whole: its length,
+  // its last chunk, or that the engine runs on. A crash ends a connection in
+  // the same way as the end of an answer that has neither.
+  bool IsProvedWhole();
   double TokenCost() const;
   // Chooses one of the route's services at random by weight.
   serving::service_id ChooseService();
@@ -182,6 +186,7 @@
 
   // State of the current or last send.
   endpoint_id last_engine_;
+  std::string engine_address_;
   gateway::endpoint_connection* active_connection_ = nullptr;
   clock::time_point sent_at_;
   std::optional<clock::duration> first_answer_;
--- a/packages/edge/request_send.cpp
+++ b/packages/edge/request_send.cpp
@@ -4,6 +4,7 @@
 
 #include "edge/relayed_request.h"
 #include "edge/stream_events.h"
+#include "gateway/listener_probe.h"
 #include "gateway/network.h"
 
 namespace bluebell::edge {
@@ -33,6 +34,8 @@
 constexpr int kTopUrgency = 2;
 // A connection is refused within a round trip.
 constexpr milliseconds kCrashProbeTimeout{200};
+// A lost SYN is no evidence of a crash.
+constexpr int kMaxProbes = 2;
 // An engine that has written this many events of a stream for this long does
 // not crash by its request.
 constexpr int kSurvivalEvents = 5;
@@ -94,24 +97,21 @@
   return "";
 }
 
-void relayed_request::DetectCrash(const std::string& address) {
+void relayed_request::DetectCrash() {
   edge_state& host = host_;
   lost_request lost{
       caller_.id,
       last_engine_,
-      address,
+      engine_address_,
       fingerprint_,
       engine_survived_ ? std::vector<prompt_part_id>() : caller_.shared_parts,
       sent_at_,
       host_.time.now(),
       events_forwarded_};
   gateway::SpawnTask(host_.io, [&host, lost = std::move(lost)](auto yield) {
-    const auto begun = host.time.now();
-    const auto opened = gateway::endpoint_connection::Connect(
-        host.io, lost.address, kCrashProbeTimeout, yield);
-    const bool refused =
-        !opened && host.time.now() - begun < kCrashProbeTimeout;
-    if (!refused) return;
+    const auto listener = gateway::ProbeListener(host.io, lost.address,
+                                                 kCrashProbeTimeout, yield);
+    if (listener != gateway::listener_state::kRefusing) return;
     host.crashes.RecordCrash(lost.fingerprint);
     host.parts.OnCrash(lost.parts, lost.engine, lost.sent_at, lost.lost_at);
     host.log.Write("engine_crashed", {{"engine", lost.engine.value()},
@@ -123,9 +123,26 @@
   });
 }
 
+bool relayed_request::IsProvedWhole() {
+  if (framing_ != gateway::body_framing::kConnection) return true;
+  auto listener = gateway::listener_state::kSilent;
+  for (int probes = 0;
+       probes < kMaxProbes && listener == gateway::listener_state::kSilent;
+       ++probes) {
+    const auto timeout =
+        std::min(kCrashProbeTimeout, std::max(TimeLeft(), milliseconds(1)));
+    listener =
+        gateway::ProbeListener(host_.io, engine_address_, timeout, yield_);
+  }
+  if (listener == gateway::listener_state::kAccepting) return true;
+  last_detail_ = std::string("the answer ended with its connection, engine ") +
+                 gateway::ToString(listener);
+  return false;
+}
+
 send_result relayed_request::SendTo(const endpoint_id& id) {
   const auto* engine = host_.fleet.Find(id);
-  const std::string address = engine->record.address;
+  engine_address_ = engine->record.address;
   const double typical_answer_s = engine->first_answer_s;
   ++sends_;
   reached_engine_ = false;
@@ -138,12 +155,12 @@
       std::min(kConnectTimeout, std::max(TimeLeft(), milliseconds(1)));
   // Plain endpoints do not answer report requests.
   auto lease = host_.connections.Take(
-      id, address, repeatable || is_model_ ? kMaxIdle : kMaxUnverifiedIdle,
-      timeout, yield_);
+      id, engine_address_,
+      repeatable || is_model_ ? kMaxIdle : kMaxUnverifiedIdle, timeout, yield_);
   if (lease && !repeatable && lease->idle > kMaxUnverifiedIdle &&
       !IsAlive(id, *lease)) {
-    lease = host_.connections.Take(id, address, clock::duration(0), timeout,
-                                   yield_);
+    lease = host_.connections.Take(id, engine_address_, clock::duration(0),
+                                   timeout, yield_);
   }
   if (!lease) {
     last_detail_ = lease.error().detail;
@@ -170,7 +187,7 @@
   const bool may_have_crashed =
       result == send_result::kUnknown ||
       (result == send_result::kDelivered && !engine_survived_);
-  if (may_have_crashed) DetectCrash(address);
+  if (may_have_crashed) DetectCrash();
   host_.fleet.OnEnd(id, {failed, first_answer_, host_.time.now() - sent_at_,
                          requirements_.model, MeasureStepTime()});
   host_.changed.Notify();
@@ -250,8 +267,8 @@
   }
   auto body = connection.ReadBody(
       kMaxAnswerBytes, std::max(TimeLeft(), milliseconds(1)), yield_);
-  if (!body) {
-    last_detail_ = body.error().detail;
+  if (!body) last_detail_ = body.error().detail;
+  if (!body || !IsProvedWhole()) {
     --runs_;  // counted again by OnConnectionLost
     return OnConnectionLost();
   }
@@ -385,9 +402,8 @@
   if (!sink_.started() && unframed) {
     return break_off("the stream ended without an event");
   }
-  // An engine that crashes between two events ends an unframed stream in the
-  // same way.
-  if (!unframed) OnEngineSurvived();
+  if (!IsProvedWhole()) return break_off(last_detail_);
+  OnEngineSurvived();
   ReturnConnection(id, lease, answer_info);
   status_ = head.status;
   if (!sink_.started()) {
--- a/packages/gateway/endpoint_connection.cpp
+++ b/packages/gateway/endpoint_connection.cpp
@@ -121,8 +121,7 @@
 bool endpoint_connection::reusable() const {
   const auto& parser = *state_->parser;
   return parser.is_done() && parser.keep_alive() &&
-         framing() != body_framing::kConnection &&
-         state_->buffer.size() == 0;
+         framing() != body_framing::kConnection && state_->buffer.size() == 0;
 }
 
 bool endpoint_connection::open_and_idle() {
