gateway: an unframed response needs an endpoint that runs on

gateway_test.UnframedResponseOfACrashedEndpointIsAnError failed before: the caller got 200 with the part. UnframedResponseIsRelayed passed and passes.

Other readers of a body that may end with its connection were looked at: the object API, engines' reports and JSON calls between hosts parse the body, which shows that it is whole; the bodies of orders and rejections are not used.

--- a/packages/gateway/dispatch_filter.cpp
+++ b/packages/gateway/dispatch_filter.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "gateway/event_stream.h"
+#include "gateway/listener_probe.h"
 #include "gateway/network.h"
 
 namespace bluebell::gateway {
@@ -168,6 +169,18 @@
                         "the answer was cut off: " + body.error().detail);
     return;
   }
+  // A crash closes the connection as the end of such an answer does.
+  if (opened->framing() == body_framing::kConnection) {
+    const auto listener = ProbeListener(context_, current.assignment->address,
+                                        limits_.connect_timeout, yield);
+    if (listener != listener_state::kAccepting) {
+      RecordFailedAttempt(
+          current, dispatch_outcome::kBroken,
+          std::string("the answer ended with its connection, endpoint ") +
+              ToString(listener));
+      return;
+    }
+  }
   const bool engine = current.kind != request_kind::kService;
   if (engine && head.status >= 500) {
     RecordFailedAttempt(
--- a/packages/gateway/tests/gateway_fixture.cpp
+++ b/packages/gateway/tests/gateway_fixture.cpp
@@ -26,7 +26,7 @@
 }  // namespace
 
 void scripted_endpoint::Run() {
-  for (const auto& next : scripts_) {
+  for (std::size_t i = 0; i < scripts_.size(); ++i) {
     tcp::socket socket(context_);
     acceptor_.accept(socket);
     const std::string request = ReadRequest(socket);
@@ -36,7 +36,10 @@
       requests_.push_back(request);
     }
     boost::system::error_code ignored;
-    asio::write(socket, asio::buffer(next(request)), ignored);
+    asio::write(socket, asio::buffer(scripts_[i](request)), ignored);
+    if (i + 1 == scripts_.size() && then_ == after_scripts::kCrash) {
+      acceptor_.close(ignored);
+    }
     socket.shutdown(tcp::socket::shutdown_both, ignored);
   }
 }
@@ -61,6 +64,12 @@
          body;
 }
 
+std::string UnframedResponse(const std::string& request,
+                             const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nx-request-id: " +
+         HeaderValue(request, "x-request-id") + "\r\n\r\n" + body;
+}
+
 std::string StreamHeader(const std::string& request) {
   return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
          "x-request-id: " +
--- a/packages/gateway/tests/gateway_fixture.h
+++ b/packages/gateway/tests/gateway_fixture.h
@@ -115,6 +115,10 @@
   std::atomic<fleet::host_status> current{fleet::host_status::kConnected};
 };
 
+/// What an endpoint does after its last script. A crash closes its listener
+/// before the last connection.
+enum class after_scripts { kListen, kCrash };
+
 /// Accepts connections one at a time and answers each with the next script: a
 /// function from the received request to the raw bytes to send. The connection
 /// is closed afterwards.
@@ -122,20 +126,23 @@
  public:
   using script = std::function<std::string(const std::string& request)>;
 
-  explicit scripted_endpoint(std::vector<script> scripts)
+  explicit scripted_endpoint(std::vector<script> scripts,
+                             after_scripts then = after_scripts::kListen)
       : acceptor_(context_, {boost::asio::ip::address_v4::loopback(), 0}),
+        address_(acceptor_.local_endpoint()),
         scripts_(std::move(scripts)),
+        then_(then),
         thread_([this] { Run(); }) {}
   ~scripted_endpoint() {
     boost::system::error_code ignored;
     boost::asio::ip::tcp::socket last(context_);
-    last.connect(acceptor_.local_endpoint(), ignored);
+    last.connect(address_, ignored);
     last.close(ignored);
     thread_.join();
   }
 
   std::string address() const {
-    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+    return "127.0.0.1:" + std::to_string(address_.port());
   }
   /// Raw requests in order of arrival.
   std::vector<std::string> requests() {
@@ -148,7 +155,9 @@
 
   boost::asio::io_context context_;
   boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::ip::tcp::endpoint address_;
   std::vector<script> scripts_;
+  after_scripts then_;
   std::mutex mutex_;
   std::vector<std::string> requests_;
   std::thread thread_;
@@ -158,6 +167,9 @@
 std::string HeaderValue(const std::string& request, const std::string& name);
 /// A raw response with matching request id and content length.
 std::string FullResponse(const std::string& request, const std::string& body);
+/// The same without a length: it ends with the connection.
+std::string UnframedResponse(const std::string& request,
+                             const std::string& body);
 /// The head of a raw event stream without a length.
 std::string StreamHeader(const std::string& request);
 /// Event with token `index`.
--- a/packages/gateway/tests/relay_test.cpp
+++ b/packages/gateway/tests/relay_test.cpp
@@ -91,6 +91,31 @@
                                      routing::dispatch_outcome::kSucceeded}));
 }
 
+// Guards against the first part of an answer without length that is relayed as
+// whole because its endpoint crashed.
+TEST_F(gateway_test, UnframedResponseOfACrashedEndpointIsAnError) {
+  const auto cut = [](const std::string& request) {
+    return UnframedResponse(request, R"({"order":1)");
+  };
+  scripted_endpoint only({cut}, after_scripts::kCrash);
+  Start({only.address()});
+  const std::string response =
+      Post("/orders/1", "{}", "Idempotency-Key: one\r\n");
+  EXPECT_TRUE(Has(response, "endpoint_failed")) << response;
+  EXPECT_FALSE(Has(response, "order\":1"));
+}
+
+// Guards against whole answers that are withheld because they have no length.
+TEST_F(gateway_test, UnframedResponseIsRelayed) {
+  const auto whole = [](const std::string& request) {
+    return UnframedResponse(request, R"({"order":1})");
+  };
+  scripted_endpoint only({whole});
+  Start({only.address()});
+  EXPECT_TRUE(Has(Post("/orders/1", "{}", "Idempotency-Key: one\r\n"),
+                  R"({"order":1})"));
+}
+
 TEST_F(gateway_test, BrokenStreamResumesWithoutLostOrDuplicateTokens) {
   scripted_endpoint first({[](const std::string& request) {
     return StreamHeader(request) + TokenEvent(0) + TokenEvent(1);
