edge: log when the store was restored from an older copy

Nothing in the logs told a restored store from one that was away: store_lost and store_regained look the same. The client of the store now reads its era; store_restored tells a change of it, and placement_holder the era in which the record was read.

--- a/packages/edge/deployment_store.h
+++ b/packages/edge/deployment_store.h
@@ -2,7 +2,9 @@
 
 #include <boost/asio/spawn.hpp>
 #include <chrono>
+#include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,6 +28,11 @@
  public:
   virtual ~deployment_store() = default;
 
+  /// Number that rises each time the store is restored from an older copy, by
+  /// its latest answer; none before the first answer, 0 if it tells none. What
+  /// was written since that copy is gone, and revisions are given out again.
+  virtual std::optional<std::uint64_t> Era() const = 0;
+
   /// Returns the latest configuration by a linearizable read; the same pointer
   /// as the previous call if it has not changed.
   virtual result<std::shared_ptr<const serving::serving_config>> ReadConfig(
--- a/packages/edge/placement_runner.cpp
+++ b/packages/edge/placement_runner.cpp
@@ -72,7 +72,8 @@
         if (before != read->holder) {
           host_.log.Write("placement_holder",
                           {{"holder", read->holder.value()},
-                           {"revision", std::to_string(read->revision)}});
+                           {"revision", std::to_string(read->revision)},
+                           {"era", std::to_string(*host_.store.Era())}});
         }
       }
     }
--- a/packages/edge/store_sync.cpp
+++ b/packages/edge/store_sync.cpp
@@ -183,6 +183,7 @@
   host_.metrics.Count(answered ? "store_read" : "store_read_failed");
   store_failures_ = answered ? 0 : store_failures_ + 1;
   if (!answered) host_.store_failed_at = host_.time.now();
+  if (answered) OnEra(*host_.store.Era());
   if (answered == !store_lost_) return;
   store_lost_ = !answered;
   const auto age = host_.freshness.Age();
@@ -196,6 +197,16 @@
             : ""}});
 }
 
+void store_sync::OnEra(std::uint64_t era) {
+  if (host_.store_era && era <= *host_.store_era) return;
+  if (host_.store_era) {
+    host_.log.Write("store_restored",
+                    {{"era", std::to_string(era)},
+                     {"before", std::to_string(*host_.store_era)}});
+  }
+  host_.store_era = era;
+}
+
 void store_sync::ApplyConfig(
     std::shared_ptr<const serving::serving_config> read) {
   if (host_.config != nullptr && read->version < host_.config->version) {
