serving: a leaving engine does not return with an older record

What callers could see: a store that is restored from an older copy lists an engine that is leaving, or has left, as ready until the engine writes again, and hosts sent it new requests (DRAIN, or a refused connection).

Change: the log of engine records keeps that a process is leaving, by its start time, also after its record was removed. An engine does not stop leaving.

Evidence: record_log.LeavingEngineDoesNotReturnWithAnOlderRecord failed before, for the listed and for the removed engine.

Ruled out: ordering records by the engines' own counter. The store keeps an entry whose counter alone has changed, so that it does not order all of them. A removed engine that was never seen leaving may have expired while the store was away.

--- a/packages/serving/record_log.cpp
+++ b/packages/serving/record_log.cpp
@@ -11,11 +11,14 @@
   const auto before = end_;
   std::set<endpoint_id> present;
   std::set<std::string> addresses;
-  for (const auto& record : listed) {
+  for (auto record : listed) {
     present.insert(record.id);
     addresses.insert(record.address);
     auto [found, added] = entries_.try_emplace(record.id);
     auto& entry = found->second;
+    const bool same_process =
+        record.started_ms != 0 && record.started_ms == entry.record.started_ms;
+    if (same_process && entry.record.leaving) record.leaving = true;
     if (!added && !entry.removed && entry.record == record) continue;
     entry = {record, false, ++end_};
   }
--- a/packages/serving/record_log.h
+++ b/packages/serving/record_log.h
@@ -30,8 +30,9 @@
   explicit record_log(std::string id) : id_(std::move(id)) {}
 
   /// Applies a listing. With `keep_missing`, records that are not listed are
-  /// kept unless another endpoint uses their address. Returns whether anything
-  /// changed.
+  /// kept unless another endpoint uses their address. A process that was
+  /// leaving stays so: a record that says otherwise is from an older copy of
+  /// the store. Returns whether anything changed.
   bool Update(const std::vector<engine_record>& listed, bool keep_missing);
   /// At most `limit` changes after `from`; 0 starts with all records.
   record_delta Since(std::uint64_t from, std::size_t limit) const;
--- a/packages/serving/tests/record_log_test.cpp
+++ b/packages/serving/tests/record_log_test.cpp
@@ -91,5 +91,26 @@
   EXPECT_EQ(request->position, 9U);
 }
 
+// Guards against requests to an engine that leaves: a store that was restored
+// from an older copy lists it as ready, or at all, until the engine writes
+// again.
+TEST(record_log, LeavingEngineDoesNotReturnWithAnOlderRecord) {
+  record_log log("first");
+  auto ready = MakeRecord(1, 4);
+  ready.started_ms = 5;
+  auto leaving = ready;
+  leaving.leaving = true;
+  log.Update({ready}, false);
+  log.Update({leaving}, false);
+  log.Update({ready}, false);
+  EXPECT_TRUE(log.Records().at(0).leaving);
+  log.Update({}, false);
+  log.Update({ready}, false);
+  EXPECT_TRUE(log.Records().at(0).leaving);
+  ready.started_ms = 6;
+  log.Update({ready}, false);
+  EXPECT_FALSE(log.Records().at(0).leaving) << "another process";
+}
+
 }  // namespace
 }  // namespace bluebell::serving
