edge: hosts list themselves again after a restoration of the store

What could be seen: a host that joined since the copy was not listed for up to 30 s after the store came back. Another one that started in between did not know it, and both counted too few hosts for their shares of the fleet-wide limits.

Change: the list is read, and the own entry written if it is missing, as soon as the store's era rises. Hosts that follow a store reader learn the era from its sync response. A restoration also counts as a failure of the store, so that engines that are not listed yet are kept for 2.4 s even if no read failed.

--- a/packages/edge/digest_exchange.cpp
+++ b/packages/edge/digest_exchange.cpp
@@ -230,6 +230,7 @@
   const serving::host_entry own{host_.settings.id, host_.settings.digest_listen,
                                 host_.settings.zone, host_.settings.capacity};
   while (!host_.leaving) {
+    const auto era = host_.store_era;
     const auto hosts = host_.store.ListHosts(yield);
     bool written = false;
     if (hosts) {
@@ -248,10 +249,14 @@
     // As long as no peer was heard, the fleet may still be starting.
     if (!written || host_.directory.peers().empty()) {
       Pause(host_.io, kListRetry, yield);
-    } else if (host_.time.now() - host_.started < kListSettling) {
-      Pause(host_.io, kListSettling, yield);
-    } else {
-      Pause(host_.io, kListInterval, yield);
+      continue;
+    }
+    const bool settling = host_.time.now() - host_.started < kListSettling;
+    const auto next =
+        host_.time.now() + (settling ? kListSettling : kListInterval);
+    // A store that was restored from an older copy may have lost the entry.
+    while (host_.time.now() < next && host_.store_era == era) {
+      Pause(host_.io, kListRetry, yield);
     }
   }
 }
--- a/packages/edge/store_sync.cpp
+++ b/packages/edge/store_sync.cpp
@@ -126,6 +126,7 @@
   serving::sync_response response;
   response.number = request->number;
   response.config_version = host_.config->version;
+  response.store_era = host_.store_era;
   if (const auto age = host_.freshness.Age()) {
     // Rounded up: the age must not be understated.
     response.config_age =
@@ -151,6 +152,7 @@
     return;
   }
   response_at_ = host_.time.now();
+  if (response->store_era) OnEra(*response->store_era);
   newest_version_ = std::max(newest_version_, response->config_version);
   if (response->config_age && host_.config != nullptr &&
       host_.config->version == response->config_version) {
@@ -203,6 +205,7 @@
     host_.log.Write("store_restored",
                     {{"era", std::to_string(era)},
                      {"before", std::to_string(*host_.store_era)}});
+    host_.store_failed_at = host_.time.now();
   }
   host_.store_era = era;
 }
--- a/packages/serving/sync_messages.cpp
+++ b/packages/serving/sync_messages.cpp
@@ -77,11 +77,13 @@
   }
   json removed = json::array();
   for (const auto& id : response.records.removed) removed.push_back(id.value());
-  return ToBytes(json::array(
+  auto message = json::array(
       {response.number, response.config_version,
        response.config_age ? response.config_age->count() : -1,
        response.records.log, response.records.from, response.records.to,
-       response.records.end, std::move(changed), std::move(removed)}));
+       response.records.end, std::move(changed), std::move(removed)});
+  if (response.store_era) message.push_back(*response.store_era);
+  return ToBytes(message);
 }
 
 result<sync_response> DecodeSyncResponse(std::string_view bytes) {
@@ -102,6 +104,7 @@
     for (const auto& id : in.at(8)) {
       response.records.removed.push_back(endpoint_id(id.get<std::string>()));
     }
+    if (in.size() > 9) response.store_era = in.at(9).get<std::uint64_t>();
     return response;
   } catch (const json::exception& failure) {
     return Fail(error_code::kInvalidArgument, failure.what());
--- a/packages/serving/sync_messages.h
+++ b/packages/serving/sync_messages.h
@@ -29,6 +29,8 @@
   std::uint64_t config_version = 0;
   std::optional<std::chrono::milliseconds> config_age;
   record_delta records;
+  /// Era of the store; none from hosts that do not tell it.
+  std::optional<std::uint64_t> store_era;
 };
 
 std::string EncodeSyncRequest(const sync_request& request);
--- a/packages/serving/tests/record_log_test.cpp
+++ b/packages/serving/tests/record_log_test.cpp
@@ -43,8 +43,9 @@
       const auto delta = log.Since(follower.PositionIn(name), 16);
       if (random() % 3 == 0) continue;  // lost
       const auto decoded =
-          DecodeSyncResponse(EncodeSyncResponse({1, 1, {}, delta}));
+          DecodeSyncResponse(EncodeSyncResponse({1, 1, {}, delta, 2}));
       ASSERT_TRUE(decoded);
+      ASSERT_EQ(decoded->store_era, 2U);
       const bool done = follower.Apply(decoded->records);
       if (random() % 4 == 0) follower.Apply(decoded->records);
       if (!done) continue;
