edge: quarantined parts are stored again after a restoration of the store

What could be seen: a prompt part that was stored since the copy was gone from the store, but counted as stored. After a restart of all hosts it would have crashed engines again (BUDGET).

Change: as soon as the store's era rises, the list is read again, and the two hosts that write store what is missing of all quarantined parts.

Evidence: stored_quarantine.PartIsStoredAgainAfterARestorationOfTheStore failed before (no part 1.5 s after the restoration).

--- a/packages/edge/quarantine_sync.cpp
+++ b/packages/edge/quarantine_sync.cpp
@@ -21,6 +21,10 @@
 void quarantine_sync::Run(boost::asio::yield_context yield) {
   auto retry = kFirstRetry;
   while (true) {
+    if (listed_ && host_.store_era > era_) {
+      listed_ = false;
+      for (const auto& part : host_.parts.Quarantined()) pending_.insert(part);
+    }
     DropPending();
     if (listed_ && pending_.empty()) {
       Pause(host_.io, kPollInterval, yield);
@@ -49,6 +53,7 @@
     return false;
   }
   listed_ = true;
+  era_ = host_.store.Era();
   std::vector<serving::stored_part> expired;
   for (const auto& entry : *stored) {
     const bool known = host_.parts.IsQuarantined({entry.part});
--- a/packages/edge/quarantine_sync.h
+++ b/packages/edge/quarantine_sync.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <boost/asio/spawn.hpp>
+#include <cstdint>
+#include <optional>
 #include <set>
 
 #include "edge/edge_state.h"
@@ -15,6 +17,9 @@
 /// second mostly finds it in the list and saves the write. Parts that were
 /// answered are not stored: they may be innocent, and are tested again soon.
 ///
+/// A store that was restored from an older copy may have lost parts: all that
+/// are quarantined are then compared with its list again.
+///
 /// Expired parts are removed before a part is written, and the number of stored
 /// parts is limited, so the list cannot grow without end.
 class quarantine_sync {
@@ -38,6 +43,8 @@
 
   edge_state& host_;
   bool listed_ = false;
+  /// Era of the store whose list was read.
+  std::optional<std::uint64_t> era_;
   /// Parts that are not known to be stored.
   std::set<prompt_part_id> pending_;
 };
--- a/packages/serving/part_quarantine.cpp
+++ b/packages/serving/part_quarantine.cpp
@@ -116,6 +116,14 @@
   return std::exchange(quarantined_, {});
 }
 
+std::vector<prompt_part_id> part_quarantine::Quarantined() const {
+  std::vector<prompt_part_id> parts;
+  for (const auto& [part, entry] : records_) {
+    if (IsQuarantined(entry)) parts.push_back(part);
+  }
+  return parts;
+}
+
 std::optional<clock::duration> part_quarantine::UnansweredAge(
     const prompt_part_id& part) const {
   const auto found = records_.find(part);
--- a/packages/serving/part_quarantine.h
+++ b/packages/serving/part_quarantine.h
@@ -87,6 +87,8 @@
                   clock::duration lateness = clock::duration(0));
   /// Parts that were quarantined since the last call, restored ones aside.
   std::vector<prompt_part_id> TakeQuarantined();
+  /// Parts that are quarantined now.
+  std::vector<prompt_part_id> Quarantined() const;
 
   /// Time since the newest crash of a quarantined part, if no request with it
   /// is known to have been answered; none for other parts.
