edge: the list of hosts is not read twice at a start

The era was unknown before the first list and known after it, which counted as a restoration of the store. It is now compared with that of the list's own answer.

--- a/packages/edge/digest_exchange.cpp
+++ b/packages/edge/digest_exchange.cpp
@@ -230,7 +230,6 @@
   const serving::host_entry own{host_.settings.id, host_.settings.digest_listen,
                                 host_.settings.zone, host_.settings.capacity};
   while (!host_.leaving) {
-    const auto era = host_.store_era;
     const auto hosts = host_.store.ListHosts(yield);
     bool written = false;
     if (hosts) {
@@ -255,7 +254,8 @@
     const auto next =
         host_.time.now() + (settling ? kListSettling : kListInterval);
     // A store that was restored from an older copy may have lost the entry.
-    while (host_.time.now() < next && host_.store_era == era) {
+    const auto era = host_.store.Era();
+    while (host_.time.now() < next && !(host_.store_era > era)) {
       Pause(host_.io, kListRetry, yield);
     }
   }
