edge: an older configuration does not confirm that keys are current

What callers could see: a key that was withdrawn shortly before the store was lost and came back from an older copy works for as long as the copy is read, longer than the bound.

Cause: each answered read of the configuration counted as a proof that no key had been withdrawn since, also one that returned an older version than the one in force or than a store reader had told.

Change: such a read confirms nothing, and an older version than the newest that is known is not applied by a host that has none. Keys are refused, as not run, once the bound has passed, until the store has caught up.

Evidence: restored_store.OlderConfigurationConfirmsNoKeys failed before (200 at 5.5 s after the last current read, bound 5 s).

--- a/packages/edge/store_sync.cpp
+++ b/packages/edge/store_sync.cpp
@@ -58,6 +58,15 @@
   OnStoreRead("config", read.has_value(),
               read ? std::string() : read.error().detail);
   if (!read) return;
+  const auto newest = std::max(
+      newest_version_, host_.config == nullptr ? 0 : host_.config->version);
+  if ((*read)->version < newest) {
+    // The store has lost versions; one of them may have withdrawn a key.
+    host_.log.Write("config_ignored",
+                    {{"version", std::to_string((*read)->version)},
+                     {"newest", std::to_string(newest)}});
+    return;
+  }
   host_.freshness.Confirm(sent);
   if (*read != host_.config) ApplyConfig(std::move(*read));
 }
@@ -212,12 +221,6 @@
 
 void store_sync::ApplyConfig(
     std::shared_ptr<const serving::serving_config> read) {
-  if (host_.config != nullptr && read->version < host_.config->version) {
-    host_.log.Write("config_ignored",
-                    {{"version", std::to_string(read->version)},
-                     {"in_force", std::to_string(host_.config->version)}});
-    return;
-  }
   host_.config = std::move(read);
   for (const auto& account : host_.config->accounts) {
     const auto limit =
