soak: restored store and answers without length or chunks

The store of the soak can come back from a copy of up to 10 s ago, with a higher era and the operator's and engines' objects written again; a tenth of the plain engines' answers, streams too, end with their connection, and are cut inside an event or reset.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -63,6 +63,8 @@
 # engines later than `CONTACT_S` after the fifth crash.
 CRASH_REQUEST_INTERVAL_S = 0.4
 MAX_LATE_CRASHES = 3
+# Answers of plain engines that have neither a length nor chunks.
+UNFRAMED_SHARE = 0.1
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 PROGRAM = os.path.join(ROOT, "build", "bin", "bluebellraild")
 
@@ -89,22 +91,54 @@
     return await reader.readexactly(int(fields.get("content-length", "0")))
 
 
+def head_of(first, fields):
+    lines = [first] + [f"{name}: {value}" for name, value in fields.items()]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+
 def message(first, fields, body=b""):
-    head = [first] + [f"{name}: {value}" for name, value in fields.items()]
-    head.append(f"Content-Length: {len(body)}")
-    return ("\r\n".join(head) + "\r\n\r\n").encode() + body
+    return head_of(first, {**fields, "Content-Length": len(body)}) + body
 
 
 class Store:
     """The users' object store: revisions, conditional writes, faults."""
 
+    COPIES_S = 12
+    # What the operator and the engines write; they write it again after a
+    # restoration.
+    OTHERS = ("config", "servers")
+
     def __init__(self, rng):
         self.rng = rng
         self.revision = 0
+        self.era = 1
         self.objects = {}
+        self.copies = []
         self.mode = "up"
 
+    def keep_copy(self):
+        self.copies.append((now(), dict(self.objects), self.revision))
+        while self.copies[0][0] < now() - self.COPIES_S:
+            self.copies.pop(0)
+
+    def restore(self, age):
+        """Comes back as it was `age` seconds ago."""
+        newest = self.objects
+        for changed, objects, revision in self.copies:
+            if changed > now() - age:
+                self.objects, self.revision = dict(objects), revision
+                break
+        self.copies = []
+        self.era += 1
+        for kind, name in list(self.objects):
+            if kind in self.OTHERS and (kind, name) not in newest:
+                self.remove(kind, name)
+        for (kind, name), entry in newest.items():
+            if kind in self.OTHERS:
+                self.put(kind, name, entry["spec"])
+
     def put(self, kind, name, spec):
+        self.keep_copy()
         self.revision += 1
         self.objects[(kind, name)] = {
             "metadata": {"name": name, "revision": self.revision,
@@ -113,6 +147,7 @@
         return self.objects[(kind, name)]
 
     def remove(self, kind, name):
+        self.keep_copy()
         self.revision += 1
         return self.objects.pop((kind, name), None)
 
@@ -161,7 +196,8 @@
                     method, target, json.loads(body) if body else None)
                 if self.mode == "lost" and self.rng.random() < 0.4:
                     return
-                writer.write(message(f"HTTP/1.1 {status} X", {},
+                writer.write(message(f"HTTP/1.1 {status} X",
+                                     {"Store-Era": self.era},
                                      json.dumps(answer).encode()))
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError,
@@ -181,20 +217,24 @@
     return not reader.at_eof() and not writer.is_closing()
 
 
-async def write_events(attempt, start, seconds, reader, writer, cut=None):
+async def write_events(attempt, start, seconds, reader, writer, cut=None,
+                       framed=True):
     """Writes the rest of a stream of ten events that lasts `seconds`; breaks
-    off within the event after `cut`. Returns whether it wrote the end."""
+    off within the event after `cut`. Unless it is `framed`, the stream ends
+    with its connection. Returns whether the connection goes on."""
     for number in range(start, 11):
         event = f"id: {number}\ndata: {attempt}\n\n".encode()
+        size = b"%x\r\n" % len(event) if framed else b""
         if cut and number > cut:
-            writer.write(b"%x\r\n" % len(event) + event[:5])
+            writer.write(size + event[:5])
             return False
-        writer.write(b"%x\r\n" % len(event) + event + b"\r\n")
+        writer.write(size + event + (b"\r\n" if framed else b""))
         await writer.drain()
         if not await pause(seconds / 10, reader, writer):
             return False
-    writer.write(b"0\r\n\r\n")
-    return True
+    if framed:
+        writer.write(b"0\r\n\r\n")
+    return framed
 
 
 class Engine:
@@ -263,6 +303,16 @@
                                  {**common, "X-Server-Seal": attempt}))
             return True
         common["X-Server-Seal"] = attempt
+        framed = rng.random() > UNFRAMED_SHARE
+        if not stream and not framed:
+            answer = head_of("HTTP/1.1 200 OK", common) + b"ran " + body
+            if fault == "cut":
+                writer.write(answer[:-2])
+                await writer.drain()
+                writer.transport.abort()
+                return False
+            writer.write(answer)
+            return False
         if not stream:
             answer = message("HTTP/1.1 200 OK", common, b"ran " + body)
             if fault == "cut":
@@ -272,12 +322,13 @@
                 answer += message("HTTP/1.1 200 OK", common, b"extra")
             writer.write(answer)
             return True
-        writer.write(("HTTP/1.1 200 OK\r\n" + "".join(
-            f"{name}: {value}\r\n" for name, value in common.items()) +
-            "Transfer-Encoding: chunked\r\n\r\n").encode())
+        if framed:
+            common["Transfer-Encoding"] = "chunked"
+        writer.write(head_of("HTTP/1.1 200 OK", common))
         start = int(fields.get("last-event-id") or 0) + 1
         cut = 4 if fault in ("cut", "reset") else None
-        return await write_events(attempt, start, seconds, reader, writer, cut)
+        return await write_events(attempt, start, seconds, reader, writer, cut,
+                                  framed)
 
 
 class Proxy:
@@ -877,7 +928,7 @@
         kind = rng.choice(["kill", "term", "term_kill", "freeze",
                            "term_freeze", "store", "store_link", "engine",
                            "engine_link", "reset", "config", "revoke", "hup",
-                           "engine_gone", "planned"])
+                           "engine_gone", "planned", "restored"])
         host = rng.choice([h for h in self.hosts if h not in self.spared])
         engine = rng.choice([e for e in self.engines if e not in self.spared])
         if kind in ("term", "term_kill", "term_freeze"):
@@ -901,6 +952,14 @@
             def end():
                 self.store.mode = "up"
             await self.harm("store", span, begin, end)
+        elif kind == "restored":
+            def begin():
+                self.store.mode = rng.choice(["silent", "busy"])
+
+            def end():
+                self.store.restore(rng.uniform(0.5, 10))
+                self.store.mode = "up"
+            await self.harm("store", span, begin, end)
         elif kind in ("store_link", "engine_link"):
             proxy, key = (host.store, host.key) if kind == "store_link" else \
                 (engine.proxy, engine.key)
