--- a/packages/edge/placement_runner.cpp
+++ b/packages/edge/placement_runner.cpp
@@ -78,7 +78,7 @@
           host_.log.Write("placement_holder",
                           {{"holder", read->holder.value()},
                            {"revision", std::to_string(read->revision)},
-                           {"era", std::to_string(*host_.store.Era())}});
+                           {"era", std::to_string(read->store_era)}});
         }
       }
     }
