edge: a follower counts the age of its records from the reader's own read

Trace: edge-thies-3 follows edge-dakar-2, which is cut off from the store just before the notice at 22.807 s. The reader goes on answering while its last read is up to 1.3 s old, and the follower counted each answer as new for another 1.3 s. The two limits add up to 2.6 s.

Change: the sync response tells the age of the records, and the follower counts from there, as it did for the configuration.

Ruled out: a shorter limit at the reader. Its normal reads are up to 0.7 s old.

--- a/packages/edge/store_sync.cpp
+++ b/packages/edge/store_sync.cpp
@@ -136,6 +136,10 @@
   response.number = request->number;
   response.config_version = host_.config->version;
   response.store_era = host_.store_era;
+  // Rounded up, as below.
+  response.records_age = std::chrono::duration_cast<milliseconds>(
+                             host_.time.now() - store_read_at_) +
+                         milliseconds(1);
   if (const auto age = host_.freshness.Age()) {
     // Rounded up: the age must not be understated.
     response.config_age =
@@ -173,7 +177,7 @@
     SendSyncRequest();
   }
   if (complete) {
-    records_at_ = request_sent_at_;
+    records_at_ = request_sent_at_ - response->records_age;
     if (follower_.PositionIn(response->records.log) != before ||
         !reads_store_) {
       ApplyRecords(follower_.Records());
--- a/packages/serving/sync_messages.cpp
+++ b/packages/serving/sync_messages.cpp
@@ -82,7 +82,8 @@
        response.config_age ? response.config_age->count() : -1,
        response.records.log, response.records.from, response.records.to,
        response.records.end, std::move(changed), std::move(removed)});
-  if (response.store_era) message.push_back(*response.store_era);
+  message.push_back(response.store_era ? json(*response.store_era) : json());
+  message.push_back(response.records_age.count());
   return ToBytes(message);
 }
 
@@ -104,7 +105,13 @@
     for (const auto& id : in.at(8)) {
       response.records.removed.push_back(endpoint_id(id.get<std::string>()));
     }
-    if (in.size() > 9) response.store_era = in.at(9).get<std::uint64_t>();
+    if (in.size() > 9 && !in.at(9).is_null()) {
+      response.store_era = in.at(9).get<std::uint64_t>();
+    }
+    if (in.size() > 10) {
+      response.records_age =
+          std::chrono::milliseconds(in.at(10).get<std::int64_t>());
+    }
     return response;
   } catch (const json::exception& failure) {
     return Fail(error_code::kInvalidArgument, failure.what());
--- a/packages/serving/sync_messages.h
+++ b/packages/serving/sync_messages.h
@@ -31,6 +31,8 @@
   record_delta records;
   /// Era of the store; none from hosts that do not tell it.
   std::optional<std::uint64_t> store_era;
+  /// Time since the read of the records was sent.
+  std::chrono::milliseconds records_age{0};
 };
 
 std::string EncodeSyncRequest(const sync_request& request);
--- a/packages/serving/tests/record_log_test.cpp
+++ b/packages/serving/tests/record_log_test.cpp
@@ -9,6 +9,8 @@
 namespace bluebell::serving {
 namespace {
 
+using std::chrono::milliseconds;
+
 engine_record MakeRecord(int number, int slots) {
   engine_record record;
   record.id = endpoint_id("e" + std::to_string(number));
@@ -42,10 +44,11 @@
       }
       const auto delta = log.Since(follower.PositionIn(name), 16);
       if (random() % 3 == 0) continue;  // lost
-      const auto decoded =
-          DecodeSyncResponse(EncodeSyncResponse({1, 1, {}, delta, 2}));
+      const auto decoded = DecodeSyncResponse(
+          EncodeSyncResponse({1, 1, {}, delta, 2, milliseconds(3)}));
       ASSERT_TRUE(decoded);
       ASSERT_EQ(decoded->store_era, 2U);
+      ASSERT_EQ(decoded->records_age, milliseconds(3));
       const bool done = follower.Apply(decoded->records);
       if (random() % 4 == 0) follower.Apply(decoded->records);
       if (!done) continue;
