--- a/packages/edge/deployment_store.h
+++ b/packages/edge/deployment_store.h
@@ -28,9 +28,10 @@
  public:
   virtual ~deployment_store() = default;
 
-  /// Number that rises each time the store is restored from an older copy, by
-  /// its latest answer; none before the first answer, 0 if it tells none. What
-  /// was written since that copy is gone, and revisions are given out again.
+  /// Era of the store, as of its latest response: a number that increases each
+  /// time the store is restored from an older copy. Writes since that copy are
+  /// lost, and revisions are assigned again. None before the first response, 0
+  /// if the store does not report an era.
   virtual std::optional<std::uint64_t> Era() const = 0;
 
   /// Returns the latest configuration by a linearizable read; the same pointer
--- a/packages/edge/edge_state.h
+++ b/packages/edge/edge_state.h
@@ -92,8 +92,8 @@
   std::set<relayed_request*> open_requests;
   /// Time of the last failed call to the store.
   clock::time_point store_failed_at;
-  /// Era of the store, `deployment_store::Era`, as this host or the store
-  /// reader that it follows last saw it; none before the first answer.
+  /// Highest known era of the store (`deployment_store::Era`), from this host's
+  /// reads or the store reader that it follows; none before the first response.
   std::optional<std::uint64_t> store_era;
   /// Asks the placement lease holder for an adapter that a request waits for.
   std::function<void(const serving::adapter_request&)> request_adapter;
--- a/packages/edge/store_sync.h
+++ b/packages/edge/store_sync.h
@@ -46,7 +46,7 @@
   void SendSyncRequest();
   void ReadConfig(boost::asio::yield_context yield);
   void OnStoreRead(const char* what, bool answered, const std::string& why);
-  // The store, or another host, answered in `era`.
+  // `era` was reported by the store or by another host.
   void OnEra(std::uint64_t era);
   void ApplyConfig(std::shared_ptr<const serving::serving_config> read);
   void ApplyRecords(std::vector<serving::engine_record> records);
--- a/packages/gateway/endpoint_connection.h
+++ b/packages/gateway/endpoint_connection.h
@@ -11,7 +11,7 @@
 
 namespace bluebell::gateway {
 
-/// What tells the end of a response's body (RFC 9112, section 6.3).
+/// How the end of a response's body is marked (RFC 9112, section 6.3).
 enum class body_framing {
   kLength,
   kChunks,
--- a/packages/serving/placement_lease.h
+++ b/packages/serving/placement_lease.h
@@ -18,9 +18,9 @@
   std::string incarnation;
   /// The holder has stopped sending orders.
   bool released = false;
-  /// Era of the store (`deployment_store::Era`) that the writer knew.
+  /// Era of the store (`deployment_store::Era`) as known to the writer.
   std::uint64_t written_era = 0;
-  /// Era of the answer in which the record was read.
+  /// Era of the response that returned the record.
   std::uint64_t store_era = 0;
 };
 
@@ -39,13 +39,12 @@
 /// and a margin; the conditional write resolves races. A suspended holder
 /// cannot act late because the clock includes suspended time.
 ///
-/// A store that was restored from an older copy may have forgotten renewals and
-/// takeovers, and gives out revisions again. Versions are therefore ordered by
-/// era and revision. A record that was written with knowledge of an earlier era
-/// than the store's, or does not exist, does not tell who sent orders last:
-/// everyone waits from its first sight as after a holder that is lost, except
-/// the process that held the lease until so recently that nobody can have taken
-/// over.
+/// A store that is restored from an older copy loses renewals and takeovers,
+/// and assigns revisions again. Versions are therefore ordered by era, then by
+/// revision. A missing record, or one whose writer knew an earlier era than the
+/// store's, does not identify the last holder: every host waits as after a lost
+/// holder, counted from its first read. The process that held the lease until
+/// then goes on at once while no other can have taken over.
 class placement_lease {
  public:
   /// Time after sending a renewal for which the holder may act on it.
@@ -81,7 +80,7 @@
   const lease_record& known() const { return known_; }
 
  private:
-  // Whether the record tells who sent orders last.
+  // Whether the record identifies the last holder.
   static bool IsCurrent(const lease_record& record) {
     return record.revision != 0 && record.written_era == record.store_era;
   }
@@ -100,7 +99,7 @@
   bool read_once_ = false;
   clock::time_point unchanged_since_;
   std::optional<clock::time_point> renewed_;
-  /// As `renewed_`, but kept when the store is restored.
+  /// Same as `renewed_`, but kept when the store is restored.
   std::optional<clock::time_point> held_;
   std::uint64_t fencing_number_ = 0;
   bool resigned_ = false;
--- a/packages/serving/sync_messages.h
+++ b/packages/serving/sync_messages.h
@@ -29,7 +29,7 @@
   std::uint64_t config_version = 0;
   std::optional<std::chrono::milliseconds> config_age;
   record_delta records;
-  /// Era of the store; none from hosts that do not tell it.
+  /// Era of the store; none from hosts that do not report it.
   std::optional<std::uint64_t> store_era;
   /// Time since the read of the records was sent.
   std::chrono::milliseconds records_age{0};
