gateway: a caller that left before its request was read is noticed at once

Trace: most hosts stop, the others run 0.7 s behind. A request with 0.3 s is read when the close of its connection is in the socket as well. The listener looked for a close only by a wait, whose handler runs after the request was sent on.

Change: it also looks when the handler of the request begins.

Evidence: http_server.CallerThatLeftBeforeItsRequestWasReadIsNoticed failed before.

--- a/packages/gateway/http_server.cpp
+++ b/packages/gateway/http_server.cpp
@@ -74,6 +74,8 @@
   explicit disconnect_detector(tcp::socket& socket) : socket_(socket) {}
 
   void Start() {
+    // The close may have arrived together with the request.
+    Check();
     socket_.async_wait(tcp::socket::wait_read,
                        [self = shared_from_this()](const io_error& ec) {
                          if (!ec && !self->stopped_) self->Check();
--- a/packages/gateway/tests/http_server_test.cpp
+++ b/packages/gateway/tests/http_server_test.cpp
@@ -41,5 +41,30 @@
   io.run_for(milliseconds(200));
 }
 
+// Guards against work for a caller that has left: a slow host reads a request
+// when the close of its connection has arrived as well.
+TEST(http_server, CallerThatLeftBeforeItsRequestWasReadIsNoticed) {
+  asio::io_context io;
+  int handled = 0;
+  auto server = http_server::Listen(
+      io, "127.0.0.1:0", {},
+      [&](const auto&, auto& sink, auto) {
+        ++handled;
+        EXPECT_TRUE(sink.caller_disconnected());
+      },
+      [](auto, const auto&) { return http_response(); });
+  ASSERT_TRUE(server);
+  asio::ip::tcp::socket caller(io);
+  caller.connect({asio::ip::address_v4::loopback(), (*server)->port()});
+  asio::write(caller, asio::buffer(std::string("GET / HTTP/1.1\r\n"
+                                               "Host: h\r\n\r\n")));
+  caller.close();
+  io.run_for(milliseconds(200));
+  EXPECT_EQ(handled, 1);
+  server->reset();
+  io.restart();
+  io.run_for(milliseconds(200));
+}
+
 }  // namespace
 }  // namespace bluebell::gateway
