--- a/packages/edge/store_sync.cpp
+++ b/packages/edge/store_sync.cpp
@@ -30,6 +30,8 @@
 constexpr milliseconds kFollowStep{150};
 // Records in one response, a few kilobytes.
 constexpr std::size_t kRecordsPerResponse = 16;
+// Source of records that this host read itself.
+const char kOwnReads[] = "store";
 
 }  // namespace
 
@@ -88,7 +90,10 @@
       records_at_ = now;
       const bool keep =
           host_.time.now() - host_.store_failed_at < kRecordReturnPeriod;
-      if (log_.Update(**read, keep)) ApplyRecords(log_.Records());
+      if (log_.Update(**read, keep)) {
+        ApplyRecords(log_.Records(), kOwnReads, now);
+      }
+      LogKeptRecords();
     }
     Pause(host_.io, read ? kEnginesInterval : RetryInterval(), yield);
   }
@@ -111,7 +116,8 @@
   const auto* reader =
       host_.directory.PickStoreReader(kStoreReaders, reader_index_);
   if (reader == nullptr) return;
-  followed_log_ = reader->newest.host.value() + reader->newest.incarnation;
+  followed_host_ = reader->newest.host.value();
+  followed_log_ = followed_host_ + reader->newest.incarnation;
   ++request_number_;
   request_sent_at_ = host_.time.now();
   send_request(
@@ -180,18 +186,53 @@
     records_at_ = request_sent_at_ - response->records_age;
     if (follower_.PositionIn(response->records.log) != before ||
         !reads_store_) {
-      ApplyRecords(follower_.Records());
+      ApplyRecords(follower_.Records(), followed_host_, records_at_);
     }
   }
 }
 
-void store_sync::ApplyRecords(std::vector<serving::engine_record> records) {
+void store_sync::ApplyRecords(std::vector<serving::engine_record> records,
+                              const std::string& source,
+                              clock::time_point read_at) {
+  LogEngineStates(records, source, read_at);
   if (!host_.fleet.Replace(std::move(records))) return;
   host_.metrics.SetGauge("engines",
                          static_cast<double>(host_.fleet.engines().size()));
   host_.changed.Notify();
 }
 
+void store_sync::LogEngineStates(
+    const std::vector<serving::engine_record>& records,
+    const std::string& source, clock::time_point read_at) {
+  std::map<endpoint_id, bool> leaving;
+  for (const auto& record : records) leaving[record.id] = record.leaving;
+  const auto log = [&](const endpoint_id& engine, const char* state) {
+    host_.log.Write("engine_state",
+                    {{"engine", engine.value()},
+                     {"state", state},
+                     {"source", source},
+                     {"age_ms", MillisecondText(host_.time.now() - read_at)}});
+  };
+  for (const auto& [engine, leaves] : leaving) {
+    const auto before = leaving_.find(engine);
+    if (before == leaving_.end() || before->second != leaves) {
+      log(engine, leaves ? "leaving" : "ready");
+    }
+  }
+  for (const auto& [engine, left] : leaving_) {
+    if (leaving.count(engine) == 0) log(engine, "gone");
+  }
+  leaving_ = std::move(leaving);
+}
+
+void store_sync::LogKeptRecords() {
+  std::string kept;
+  for (const auto& engine : log_.Kept()) kept += engine.value() + " ";
+  if (kept == kept_) return;
+  kept_ = std::move(kept);
+  host_.log.Write("records_kept", {{"engines", kept_}});
+}
+
 // Counts store reads, and logs when the store becomes unavailable or available.
 void store_sync::OnStoreRead(const char* what, bool answered,
                              const std::string& why) {
--- a/packages/edge/store_sync.h
+++ b/packages/edge/store_sync.h
@@ -2,7 +2,10 @@
 
 #include <boost/asio/spawn.hpp>
 #include <functional>
+#include <map>
 #include <optional>
+#include <string>
+#include <vector>
 
 #include "edge/edge_state.h"
 #include "serving/record_log.h"
@@ -49,7 +52,14 @@
   // `era` was reported by the store or by another host.
   void OnEra(std::uint64_t era);
   void ApplyConfig(std::shared_ptr<const serving::serving_config> read);
-  void ApplyRecords(std::vector<serving::engine_record> records);
+  // `source` is "store", or the host whose records were followed; they are as
+  // of `read_at`.
+  void ApplyRecords(std::vector<serving::engine_record> records,
+                    const std::string& source, clock::time_point read_at);
+  // Logs each engine that became ready, leaving or gone by these records.
+  void LogEngineStates(const std::vector<serving::engine_record>& records,
+                       const std::string& source, clock::time_point read_at);
+  void LogKeptRecords();
   milliseconds RetryInterval() const;
 
   edge_state& host_;
@@ -62,6 +72,7 @@
   clock::time_point store_read_at_;
   /// Records that this host received from a store reader.
   serving::record_follower follower_;
+  std::string followed_host_;
   std::string followed_log_;
   /// Selects the store reader to follow.
   std::uint64_t reader_index_;
@@ -70,6 +81,9 @@
   clock::time_point request_sent_at_;
   clock::time_point records_at_;
   std::uint64_t newest_version_ = 0;
+  /// Whether each engine of the applied records is leaving.
+  std::map<endpoint_id, bool> leaving_;
+  std::string kept_;
 };
 
 }  // namespace bluebell::edge
--- a/packages/serving/record_log.cpp
+++ b/packages/serving/record_log.cpp
@@ -19,11 +19,13 @@
     const bool same_process =
         record.started_ms != 0 && record.started_ms == entry.record.started_ms;
     if (same_process && entry.record.leaving) record.leaving = true;
+    entry.listed = true;
     if (!added && !entry.removed && entry.record == record) continue;
-    entry = {record, false, ++end_};
+    entry = {record, false, true, ++end_};
   }
   for (auto& [id, entry] : entries_) {
     if (entry.removed || present.count(id)) continue;
+    entry.listed = false;
     // A record is dropped if another endpoint uses its address now.
     if (keep_missing && !addresses.count(entry.record.address)) continue;
     entry.removed = true;
@@ -32,6 +34,14 @@
   return end_ != before;
 }
 
+std::vector<endpoint_id> record_log::Kept() const {
+  std::vector<endpoint_id> kept;
+  for (const auto& [id, entry] : entries_) {
+    if (!entry.removed && !entry.listed) kept.push_back(id);
+  }
+  return kept;
+}
+
 record_delta record_log::Since(std::uint64_t from, std::size_t limit) const {
   record_delta delta;
   delta.log = id_;
--- a/packages/serving/record_log.h
+++ b/packages/serving/record_log.h
@@ -37,11 +37,14 @@
   /// At most `limit` changes after `from`; 0 starts with all records.
   record_delta Since(std::uint64_t from, std::size_t limit) const;
   std::vector<engine_record> Records() const;
+  /// Records that the last listing lacked and that were kept.
+  std::vector<endpoint_id> Kept() const;
 
  private:
   struct entry {
     engine_record record;
     bool removed = false;
+    bool listed = true;
     std::uint64_t sequence = 0;
   };
 
