edge, serving: endpoint records are ordered by the version of the store

Cause: a host takes the records of endpoints from its own reads and from a store reader that it follows, and nothing ordered the two. A reader that came back from a cut kept the records that its first listing lacked, as ready, and its followers, which had read the engine as leaving and gone, took them for new. Ruled out: the sender's own reads, none of which failed.

Each listing now carries the era and revision of the store, also in the answers to followers, and each kept record the version of the last listing that had it. engine_view merges the sources: earlier versions are ignored, a kept record does not replace a later listing, and a process that was leaving stays so. A host's own read is compared with what it goes by, not with its read before. This works because the store assigns revisions in one order for all hosts.

--- a/packages/edge/deployment_store.h
+++ b/packages/edge/deployment_store.h
@@ -38,16 +38,16 @@
   /// as the previous call if it has not changed.
   virtual result<std::shared_ptr<const serving::serving_config>> ReadConfig(
       boost::asio::yield_context yield) = 0;
-  /// Returns all valid endpoint records; the same pointer as the previous call
-  /// if nothing has changed.
-  virtual result<std::shared_ptr<const std::vector<serving::engine_record>>>
-  ListEngines(boost::asio::yield_context yield) = 0;
+  /// Returns all valid endpoint records, as of the version of the store at
+  /// which the listing began.
+  virtual result<serving::engine_listing> ListEngines(
+      boost::asio::yield_context yield) = 0;
 
   virtual result<serving::lease_record> ReadLease(
       boost::asio::yield_context yield) = 0;
   /// Compare-and-swap: replaces the record if its revision is still
   /// `wanted.revision`; returns the new version.
-  virtual result<serving::lease_version> WriteLease(
+  virtual result<serving::store_version> WriteLease(
       const serving::lease_record& wanted,
       boost::asio::yield_context yield) = 0;
 
--- a/packages/edge/store_sync.cpp
+++ b/packages/edge/store_sync.cpp
@@ -33,6 +33,10 @@
 // Source of records that this host read itself.
 const char kOwnReads[] = "store";
 
+std::string VersionText(const serving::store_version& version) {
+  return std::to_string(version.era) + "/" + std::to_string(version.revision);
+}
+
 }  // namespace
 
 bool store_sync::IsStoreReader() const {
@@ -90,8 +94,10 @@
       records_at_ = now;
       const bool keep =
           host_.time.now() - host_.store_failed_at < kRecordReturnPeriod;
-      if (log_.Update(**read, keep)) {
-        ApplyRecords(log_.Records(), kOwnReads, now);
+      log_.Update(read->version, *read->records, keep);
+      if (Supersede({kOwnReads, "", log_.end()}, log_.version())) {
+        view_.Apply(log_.version(), log_.Records(), log_.Kept());
+        PublishRecords(kOwnReads, now);
       }
       LogKeptRecords();
     }
@@ -177,23 +183,45 @@
       host_.config->version == response->config_version) {
     host_.freshness.Confirm(request_sent_at_ - *response->config_age);
   }
+  // A host that does not report versions cannot be followed.
+  if (response->records.version.revision == 0) return;
   const auto before = follower_.PositionIn(response->records.log);
   const bool complete = follower_.Apply(response->records);
-  if (!complete && follower_.PositionIn(response->records.log) > before) {
-    SendSyncRequest();
+  const auto position = follower_.PositionIn(response->records.log);
+  if (!complete && position > before) SendSyncRequest();
+  if (!complete) return;
+  const auto read_at = request_sent_at_ - response->records_age;
+  // Records of a later version are at least as recent.
+  records_at_ = std::max(records_at_, read_at);
+  if (Supersede({followed_host_, response->records.log, position},
+                response->records.version)) {
+    view_.Apply(response->records.version, follower_.Records(),
+                response->records.kept);
+    PublishRecords(followed_host_, read_at);
   }
-  if (complete) {
-    records_at_ = request_sent_at_ - response->records_age;
-    if (follower_.PositionIn(response->records.log) != before ||
-        !reads_store_) {
-      ApplyRecords(follower_.Records(), followed_host_, records_at_);
-    }
+}
+
+bool store_sync::Supersede(const record_source& source,
+                           const serving::store_version& version) {
+  const bool ignored = version < view_.version();
+  if (ignored && !ignored_) {
+    host_.log.Write("records_ignored",
+                    {{"source", source.name},
+                     {"version", VersionText(version)},
+                     {"newest", VersionText(view_.version())}});
   }
+  ignored_ = ignored;
+  if (ignored) return false;
+  const bool unchanged =
+      source.log == applied_.log && source.position == applied_.position;
+  if (unchanged) view_.Confirm(version);
+  applied_ = source;
+  return !unchanged;
 }
 
-void store_sync::ApplyRecords(std::vector<serving::engine_record> records,
-                              const std::string& source,
-                              clock::time_point read_at) {
+void store_sync::PublishRecords(const std::string& source,
+                                clock::time_point read_at) {
+  auto records = view_.Records();
   LogEngineStates(records, source, read_at);
   if (!host_.fleet.Replace(std::move(records))) return;
   host_.metrics.SetGauge("engines",
@@ -227,7 +255,7 @@
 
 void store_sync::LogKeptRecords() {
   std::string kept;
-  for (const auto& engine : log_.Kept()) kept += engine.value() + " ";
+  for (const auto& [engine, listed] : log_.Kept()) kept += engine.value() + " ";
   if (kept == kept_) return;
   kept_ = std::move(kept);
   host_.log.Write("records_kept", {{"engines", kept_}});
--- a/packages/edge/store_sync.h
+++ b/packages/edge/store_sync.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "edge/edge_state.h"
+#include "serving/engine_view.h"
 #include "serving/record_log.h"
 #include "serving/sync_messages.h"
 
@@ -52,10 +53,20 @@
   // `era` was reported by the store or by another host.
   void OnEra(std::uint64_t era);
   void ApplyConfig(std::shared_ptr<const serving::serving_config> read);
-  // `source` is "store", or the host whose records were followed; they are as
-  // of `read_at`.
-  void ApplyRecords(std::vector<serving::engine_record> records,
-                    const std::string& source, clock::time_point read_at);
+  // Where records come from: this host's own reads, or a reader's log.
+  struct record_source {
+    // "store", or the host that is followed.
+    std::string name;
+    std::string log;
+    std::uint64_t position = 0;
+  };
+
+  // Whether records from `source` as of `version` change those that this host
+  // goes by. Earlier ones do not.
+  bool Supersede(const record_source& source,
+                 const serving::store_version& version);
+  // `read_at`: when the records in `view_` were read.
+  void PublishRecords(const std::string& source, clock::time_point read_at);
   // Logs each engine that became ready, leaving or gone by these records.
   void LogEngineStates(const std::vector<serving::engine_record>& records,
                        const std::string& source, clock::time_point read_at);
@@ -81,6 +92,10 @@
   clock::time_point request_sent_at_;
   clock::time_point records_at_;
   std::uint64_t newest_version_ = 0;
+  serving::engine_view view_;
+  record_source applied_;
+  /// The last records were of an earlier version.
+  bool ignored_ = false;
   /// Whether each engine of the applied records is leaving.
   std::map<endpoint_id, bool> leaving_;
   std::string kept_;
--- a/packages/serving/engine_record.h
+++ b/packages/serving/engine_record.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -10,6 +11,7 @@
 
 #include "base/ids.h"
 #include "serving/serving_config.h"
+#include "serving/store_version.h"
 
 namespace bluebell::serving {
 
@@ -45,6 +47,13 @@
   }
 };
 
+/// All endpoint records of the store as of one of its versions.
+struct engine_listing {
+  store_version version;
+  /// The same object as in the previous listing if no record has changed.
+  std::shared_ptr<const std::vector<engine_record>> records;
+};
+
 /// Current state as reported by the engine itself; newer than its record.
 struct engine_report {
   std::int64_t started_ms = 0;
--- a/packages/serving/placement_lease.cpp
+++ b/packages/serving/placement_lease.cpp
@@ -8,8 +8,8 @@
 // Fencing numbers are JSON integers, which are exact below 2^53.
 constexpr int kRevisionBits = 40;
 
-std::uint64_t ToFencingNumber(const lease_version& version) {
-  return (version.store_era << kRevisionBits) + version.revision;
+std::uint64_t ToFencingNumber(const store_version& version) {
+  return (version.era << kRevisionBits) + version.revision;
 }
 
 }  // namespace
@@ -31,7 +31,7 @@
     renewed_.reset();
     if (IsCurrent(known_)) held_.reset();
   } else if (!was_held) {
-    fencing_number_ = ToFencingNumber({read.revision, read.store_era});
+    fencing_number_ = ToFencingNumber({read.store_era, read.revision});
   }
 }
 
@@ -63,14 +63,14 @@
   return wanted;
 }
 
-void placement_lease::OnWritten(const lease_version& version, bool released,
+void placement_lease::OnWritten(const store_version& version, bool released,
                                 clock::time_point sent) {
   const bool was_held = IsHeldBySelf();
   // The condition on the revision is void if the store was restored meanwhile:
   // the write may have replaced the record of another holder.
   const auto written_era = known_.store_era;
   known_ = {version.revision, self_,       incarnation_,
-            released,         written_era, version.store_era};
+            released,         written_era, version.era};
   unchanged_since_ = clock_.now();
   if (!IsHeldBySelf()) {
     renewed_.reset();
--- a/packages/serving/placement_lease.h
+++ b/packages/serving/placement_lease.h
@@ -6,6 +6,7 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
+#include "serving/store_version.h"
 
 namespace bluebell::serving {
 
@@ -24,12 +25,6 @@
   std::uint64_t store_era = 0;
 };
 
-/// Version that a write gave the record.
-struct lease_version {
-  std::uint64_t revision = 0;
-  std::uint64_t store_era = 0;
-};
-
 /// Lease on the right to send orders to engines.
 ///
 /// Engines do not check fencing numbers, so the orders of two holders must be
@@ -68,7 +63,7 @@
   /// none if there is nothing to write.
   std::optional<lease_record> NextWrite() const;
   /// A write sent at `sent` succeeded and gave the record `version`.
-  void OnWritten(const lease_version& version, bool released,
+  void OnWritten(const store_version& version, bool released,
                  clock::time_point sent);
   /// Stops acting; `NextWrite` then releases the lease once.
   void Resign() { resigned_ = true; }
--- a/packages/serving/record_log.cpp
+++ b/packages/serving/record_log.cpp
@@ -6,9 +6,10 @@
 
 namespace bluebell::serving {
 
-bool record_log::Update(const std::vector<engine_record>& listed,
+void record_log::Update(const store_version& version,
+                        const std::vector<engine_record>& listed,
                         bool keep_missing) {
-  const auto before = end_;
+  version_ = version;
   std::set<endpoint_id> present;
   std::set<std::string> addresses;
   for (auto record : listed) {
@@ -19,25 +20,27 @@
     const bool same_process =
         record.started_ms != 0 && record.started_ms == entry.record.started_ms;
     if (same_process && entry.record.leaving) record.leaving = true;
-    entry.listed = true;
+    entry.listed_at = version;
     if (!added && !entry.removed && entry.record == record) continue;
-    entry = {record, false, true, ++end_};
+    entry.record = std::move(record);
+    entry.removed = false;
+    entry.sequence = ++end_;
   }
   for (auto& [id, entry] : entries_) {
     if (entry.removed || present.count(id)) continue;
-    entry.listed = false;
     // A record is dropped if another endpoint uses its address now.
     if (keep_missing && !addresses.count(entry.record.address)) continue;
     entry.removed = true;
     entry.sequence = ++end_;
   }
-  return end_ != before;
 }
 
-std::vector<endpoint_id> record_log::Kept() const {
-  std::vector<endpoint_id> kept;
+std::map<endpoint_id, store_version> record_log::Kept() const {
+  std::map<endpoint_id, store_version> kept;
   for (const auto& [id, entry] : entries_) {
-    if (!entry.removed && !entry.listed) kept.push_back(id);
+    if (!entry.removed && entry.listed_at < version_) {
+      kept[id] = entry.listed_at;
+    }
   }
   return kept;
 }
@@ -47,6 +50,8 @@
   delta.log = id_;
   delta.from = from > end_ ? 0 : from;
   delta.end = end_;
+  delta.version = version_;
+  delta.kept = Kept();
   std::vector<const entry*> later;
   for (const auto& [id, entry] : entries_) {
     if (entry.sequence > delta.from) later.push_back(&entry);
--- a/packages/serving/record_log.h
+++ b/packages/serving/record_log.h
@@ -20,6 +20,11 @@
   std::uint64_t end = 0;
   std::vector<engine_record> changed;
   std::vector<endpoint_id> removed;
+  /// Version of the newest listing.
+  store_version version;
+  /// Records that this listing lacked and that are kept, with the version of
+  /// the last listing that had them.
+  std::map<endpoint_id, store_version> kept;
 };
 
 /// The records that a host has read from the store, as a log of changes that
@@ -32,23 +37,29 @@
   /// Applies a listing. With `keep_missing`, records that are not listed are
   /// kept unless another endpoint uses their address. A process that was
   /// leaving stays so: a record that says otherwise is from an older copy of
-  /// the store. Returns whether anything changed.
-  bool Update(const std::vector<engine_record>& listed, bool keep_missing);
+  /// the store.
+  void Update(const store_version& version,
+              const std::vector<engine_record>& listed, bool keep_missing);
   /// At most `limit` changes after `from`; 0 starts with all records.
   record_delta Since(std::uint64_t from, std::size_t limit) const;
   std::vector<engine_record> Records() const;
-  /// Records that the last listing lacked and that were kept.
-  std::vector<endpoint_id> Kept() const;
+  const store_version& version() const { return version_; }
+  /// Position of the newest change.
+  std::uint64_t end() const { return end_; }
+  /// `record_delta::kept`.
+  std::map<endpoint_id, store_version> Kept() const;
 
  private:
   struct entry {
     engine_record record;
     bool removed = false;
-    bool listed = true;
     std::uint64_t sequence = 0;
+    /// The last listing that had the record.
+    store_version listed_at;
   };
 
   std::string id_;
+  store_version version_;
   std::uint64_t end_ = 0;
   std::map<endpoint_id, entry> entries_;
 };
--- a/packages/serving/sync_messages.cpp
+++ b/packages/serving/sync_messages.cpp
@@ -84,6 +84,13 @@
        response.records.end, std::move(changed), std::move(removed)});
   message.push_back(response.store_era ? json(*response.store_era) : json());
   message.push_back(response.records_age.count());
+  const auto& version = response.records.version;
+  message.push_back(json::array({version.era, version.revision}));
+  json kept = json::array();
+  for (const auto& [id, listed] : response.records.kept) {
+    kept.push_back(json::array({id.value(), listed.era, listed.revision}));
+  }
+  message.push_back(std::move(kept));
   return ToBytes(message);
 }
 
@@ -112,6 +119,14 @@
       response.records_age =
           std::chrono::milliseconds(in.at(10).get<std::int64_t>());
     }
+    if (in.size() > 12) {
+      response.records.version = {in.at(11).at(0).get<std::uint64_t>(),
+                                  in.at(11).at(1).get<std::uint64_t>()};
+      for (const auto& row : in.at(12)) {
+        response.records.kept[endpoint_id(row.at(0).get<std::string>())] = {
+            row.at(1).get<std::uint64_t>(), row.at(2).get<std::uint64_t>()};
+      }
+    }
     return response;
   } catch (const json::exception& failure) {
     return Fail(error_code::kInvalidArgument, failure.what());
--- a/packages/serving/sync_messages.h
+++ b/packages/serving/sync_messages.h
@@ -28,6 +28,7 @@
   /// was sent; none if there was no such read.
   std::uint64_t config_version = 0;
   std::optional<std::chrono::milliseconds> config_age;
+  /// Its version has revision 0 if the host does not report one.
   record_delta records;
   /// Era of the store; none from hosts that do not report it.
   std::optional<std::uint64_t> store_era;
--- a/packages/serving/tests/placement_lease_test.cpp
+++ b/packages/serving/tests/placement_lease_test.cpp
@@ -36,11 +36,11 @@
   };
   std::vector<delayed_write> delayed_writes;
 
-  std::optional<lease_version> Write(const lease_record& wanted) {
+  std::optional<store_version> Write(const lease_record& wanted) {
     if (wanted.revision != record.revision) return std::nullopt;
     record = wanted;
     record.revision = next_revision++;
-    return lease_version{record.revision, era};
+    return store_version{era, record.revision};
   }
   lease_record Read() const {
     auto read = record;
@@ -189,7 +189,7 @@
   manual_clock clock;
   placement_lease lease(clock, host_id("a"), "1", kPause);
   lease.OnRead({});
-  lease.OnWritten({1, 0}, false, clock.now());
+  lease.OnWritten({0, 1}, false, clock.now());
   EXPECT_TRUE(lease.MayAct());
   clock.Advance(placement_lease::kValidity);
   EXPECT_FALSE(lease.MayAct());
@@ -203,7 +203,7 @@
   lease.OnRead({3, host_id("a"), "1", false});
   EXPECT_FALSE(lease.MayAct());
   ASSERT_TRUE(lease.NextWrite());
-  lease.OnWritten({4, 0}, false, clock.now());
+  lease.OnWritten({0, 4}, false, clock.now());
   EXPECT_TRUE(lease.MayAct());
   EXPECT_EQ(lease.fencing_number(), 3U);
 }
--- a/packages/serving/tests/record_log_test.cpp
+++ b/packages/serving/tests/record_log_test.cpp
@@ -30,17 +30,18 @@
     std::string name = "first";
     std::vector<engine_record> listed;
     int complete = 0;
+    std::uint64_t revision = 0;
     for (int step = 0; step < 300; ++step) {
       listed.clear();
       for (int i = 0; i < 40; ++i) {
         if (random() % 4 != 0)
           listed.push_back(MakeRecord(i, random() % 3 + 1));
       }
-      log.Update(listed, random() % 5 == 0);
+      log.Update({1, ++revision}, listed, random() % 5 == 0);
       if (random() % 60 == 0) {
         name = "log-" + std::to_string(step);
         log = record_log(name);
-        log.Update(listed, false);
+        log.Update({1, ++revision}, listed, false);
       }
       const auto delta = log.Since(follower.PositionIn(name), 16);
       if (random() % 3 == 0) continue;  // lost
@@ -49,6 +50,8 @@
       ASSERT_TRUE(decoded);
       ASSERT_EQ(decoded->store_era, 2U);
       ASSERT_EQ(decoded->records_age, milliseconds(3));
+      ASSERT_EQ(decoded->records.version, log.version());
+      ASSERT_EQ(decoded->records.kept, log.Kept());
       const bool done = follower.Apply(decoded->records);
       if (random() % 4 == 0) follower.Apply(decoded->records);
       if (!done) continue;
@@ -69,22 +72,28 @@
 // unavailable, and against keeping an address for its previous engine.
 TEST(record_log, KeepsMissingRecordsUnlessTheirAddressIsUsed) {
   record_log log("log");
-  log.Update({MakeRecord(1, 1), MakeRecord(2, 1)}, false);
+  log.Update({1, 1}, {MakeRecord(1, 1), MakeRecord(2, 1)}, false);
   auto successor = MakeRecord(3, 1);
   successor.address = MakeRecord(2, 1).address;
-  log.Update({successor}, true);
+  log.Update({1, 2}, {successor}, true);
   const auto kept = log.Records();
   ASSERT_EQ(kept.size(), 2U);
   EXPECT_EQ(kept[0].id, endpoint_id("e1"));
   EXPECT_EQ(kept[1].id, endpoint_id("e3"));
-  log.Update({successor}, false);
+  EXPECT_EQ(
+      log.Kept(),
+      (std::map<endpoint_id, store_version>{{endpoint_id("e1"), {1, 1}}}));
+  log.Update({1, 3}, {successor}, false);
   EXPECT_EQ(log.Records().size(), 1U);
 }
 
 TEST(record_log, UnchangedListingIsNoChange) {
   record_log log("log");
-  EXPECT_TRUE(log.Update({MakeRecord(1, 1)}, false));
-  EXPECT_FALSE(log.Update({MakeRecord(1, 1)}, false));
+  log.Update({1, 1}, {MakeRecord(1, 1)}, false);
+  const auto end = log.end();
+  EXPECT_GT(end, 0U);
+  log.Update({1, 2}, {MakeRecord(1, 1)}, false);
+  EXPECT_EQ(log.end(), end);
 }
 
 TEST(sync_messages, RejectsInvalidBytes) {
@@ -104,15 +113,15 @@
   ready.started_ms = 5;
   auto leaving = ready;
   leaving.leaving = true;
-  log.Update({ready}, false);
-  log.Update({leaving}, false);
-  log.Update({ready}, false);
+  log.Update({1, 1}, {ready}, false);
+  log.Update({1, 2}, {leaving}, false);
+  log.Update({1, 3}, {ready}, false);
   EXPECT_TRUE(log.Records().at(0).leaving);
-  log.Update({}, false);
-  log.Update({ready}, false);
+  log.Update({1, 4}, {}, false);
+  log.Update({1, 5}, {ready}, false);
   EXPECT_TRUE(log.Records().at(0).leaving);
   ready.started_ms = 6;
-  log.Update({ready}, false);
+  log.Update({1, 6}, {ready}, false);
   EXPECT_FALSE(log.Records().at(0).leaving) << "another process";
 }
 
