edge, serving: a host's own failed reads are no outage of the store

A record may only be missing by expiry if the store was away, and that is a fact of the fleet, not of one host.

Digests now say when the sender last read the store and since when the store has answered; store_contact joins these with the host's own reads.

--- a/packages/edge/digest_exchange.cpp
+++ b/packages/edge/digest_exchange.cpp
@@ -148,7 +148,9 @@
   for (const auto& [fingerprint, crashes] : digest->crashes) {
     host_.crashes.OnNotice(digest->host, fingerprint, crashes);
   }
-  host_.parts.OnEvidence(digest->parts, host_.directory.Lateness(*digest));
+  const auto late = host_.directory.Lateness(*digest);
+  host_.parts.OnEvidence(digest->parts, late);
+  if (digest->store) host_.store_contact.OnPeer(*digest->store, late);
   if (digest->leaving) host_.fleet.OnPeerGone(digest->host);
   demand_[digest->host] = digest->demand;
   if (digest->hello)
@@ -320,6 +322,7 @@
   if (notices) digest.notices = notices();
   digest.crashes = host_.crashes.OwnCrashes();
   digest.parts = host_.parts.Evidence();
+  digest.store = host_.store_contact.Report();
   return digest;
 }
 
--- a/packages/edge/edge_state.h
+++ b/packages/edge/edge_state.h
@@ -25,6 +25,7 @@
 #include "serving/serving_config.h"
 #include "serving/shared_quota.h"
 #include "serving/stop_admission.h"
+#include "serving/store_contact.h"
 
 namespace bluebell::edge {
 
@@ -48,6 +49,7 @@
         changed(context),
         connections(context, source),
         log(source, settings.id),
+        store_contact(source),
         fleet(source, settings.zone, seed),
         quota(source, seed),
         retries(source, settings.retries),
@@ -90,8 +92,6 @@
   std::uint64_t requests_received = 0;
   /// Requests that are being served.
   std::set<relayed_request*> open_requests;
-  /// Time of the last failed call to the store.
-  clock::time_point store_failed_at;
   /// Highest known era of the store (`deployment_store::Era`), from this host's
   /// reads or the store reader that it follows; none before the first response.
   std::optional<std::uint64_t> store_era;
@@ -102,6 +102,7 @@
   engine_connections connections;
   decision_log log;
   edge_metrics metrics;
+  serving::store_contact store_contact;
   serving::engine_fleet fleet;
   serving::shared_quota quota;
   serving::service_retry_budget retries;
--- a/packages/edge/store_sync.cpp
+++ b/packages/edge/store_sync.cpp
@@ -16,9 +16,6 @@
 // maximum, to spare a store that rejects calls; rejected calls have a cost too.
 constexpr milliseconds kRetryInterval{150};
 constexpr milliseconds kMaxRetryInterval{1200};
-// Records that expired during a store outage reappear within two seconds after
-// it; the rest covers the interval between reads.
-constexpr milliseconds kRecordReturnPeriod{2400};
 // Hosts that read the store for all others; tolerates the loss of two.
 constexpr int kStoreReaders = 3;
 constexpr milliseconds kFollowInterval{350};
@@ -61,7 +58,7 @@
 void store_sync::ReadConfig(boost::asio::yield_context yield) {
   const auto sent = host_.time.now();
   auto read = host_.store.ReadConfig(yield);
-  OnStoreRead("config", read.has_value(),
+  OnStoreRead("config", sent, read.has_value(),
               read ? std::string() : read.error().detail);
   if (!read) return;
   const auto newest = std::max(
@@ -86,22 +83,21 @@
       continue;
     }
     const auto read = host_.store.ListEngines(yield);
-    OnStoreRead("engines", read.has_value(),
+    OnStoreRead("engines", now, read.has_value(),
                 read ? std::string() : read.error().detail);
     if (read) {
       reads_store_ = true;
       store_read_at_ = now;
       records_at_ = now;
-      const bool keep =
-          host_.time.now() - host_.store_failed_at < kRecordReturnPeriod;
-      log_.Update(read->version, *read->records, keep);
+      log_.Update(read->version, *read->records,
+                  host_.store_contact.MayLackRecords());
       if (Supersede({kOwnReads, "", log_.end()}, log_.version())) {
         view_.Apply(log_.version(), log_.Records(), log_.Kept());
         PublishRecords(kOwnReads, now);
       }
       LogKeptRecords();
     }
-    Pause(host_.io, read ? kEnginesInterval : RetryInterval(), yield);
+    Pause(host_.io, read ? TimeToNextListing() : RetryInterval(), yield);
   }
 }
 
@@ -262,12 +258,14 @@
 }
 
 // Counts store reads, and logs when the store becomes unavailable or available.
-void store_sync::OnStoreRead(const char* what, bool answered,
-                             const std::string& why) {
+void store_sync::OnStoreRead(const char* what, clock::time_point sent,
+                             bool answered, const std::string& why) {
   host_.metrics.Count(answered ? "store_read" : "store_read_failed");
   store_failures_ = answered ? 0 : store_failures_ + 1;
-  if (!answered) host_.store_failed_at = host_.time.now();
-  if (answered) OnEra(*host_.store.Era());
+  if (answered) {
+    host_.store_contact.OnRead(sent);
+    OnEra(*host_.store.Era());
+  }
   if (answered == !store_lost_) return;
   store_lost_ = !answered;
   const auto age = host_.freshness.Age();
@@ -287,7 +285,7 @@
     host_.log.Write("store_restored",
                     {{"era", std::to_string(era)},
                      {"before", std::to_string(*host_.store_era)}});
-    host_.store_failed_at = host_.time.now();
+    host_.store_contact.OnRestored();
   }
   host_.store_era = era;
 }
@@ -312,6 +310,13 @@
                    {"keys", std::to_string(host_.config->keys.size())}});
 }
 
+// Records that were kept because of an outage are dropped in time.
+milliseconds store_sync::TimeToNextListing() const {
+  if (!host_.store_contact.MayLackRecords()) return kEnginesInterval;
+  const auto left = host_.store_contact.LacksRecordsUntil() - host_.time.now();
+  return std::min(kEnginesInterval, ToMilliseconds(left) + milliseconds(1));
+}
+
 milliseconds store_sync::RetryInterval() const {
   const int doublings = std::clamp(store_failures_ - 1, 0, 3);
   return std::min(kRetryInterval * (1 << doublings), kMaxRetryInterval);
--- a/packages/edge/store_sync.h
+++ b/packages/edge/store_sync.h
@@ -49,7 +49,8 @@
   bool IsStoreReader() const;
   void SendSyncRequest();
   void ReadConfig(boost::asio::yield_context yield);
-  void OnStoreRead(const char* what, bool answered, const std::string& why);
+  void OnStoreRead(const char* what, clock::time_point sent, bool answered,
+                   const std::string& why);
   // `era` was reported by the store or by another host.
   void OnEra(std::uint64_t era);
   void ApplyConfig(std::shared_ptr<const serving::serving_config> read);
@@ -71,6 +72,7 @@
   void LogEngineStates(const std::vector<serving::engine_record>& records,
                        const std::string& source, clock::time_point read_at);
   void LogKeptRecords();
+  milliseconds TimeToNextListing() const;
   milliseconds RetryInterval() const;
 
   edge_state& host_;
--- a/packages/serving/host_digest.cpp
+++ b/packages/serving/host_digest.cpp
@@ -53,6 +53,10 @@
                                  static_cast<std::int64_t>(entry.demand_per_s),
                                  static_cast<std::int64_t>(entry.level)}));
   }
+  if (digest.store) {
+    out["store"] = json::array({ToMilliseconds(digest.store->read_age),
+                                ToMilliseconds(digest.store->up_for)});
+  }
   if (!digest.demand.empty()) {
     json& demand = out["demand"] = json::array();
     for (const auto& entry : digest.demand) {
@@ -176,6 +180,11 @@
         {account_id(row.at(0).get<std::string>()), row.at(1).get<double>(),
          row.at(2).get<double>(), row.at(3).get<double>()});
   }
+  if (in.contains("store")) {
+    digest.store = {
+        std::chrono::milliseconds(in["store"].at(0).get<std::int64_t>()),
+        std::chrono::milliseconds(in["store"].at(1).get<std::int64_t>())};
+  }
   if (in.contains("demand")) {
     for (const auto& row : in["demand"]) {
       digest.demand.push_back({model_id(row.at(0).get<std::string>()),
--- a/packages/serving/host_digest.h
+++ b/packages/serving/host_digest.h
@@ -12,6 +12,7 @@
 #include "serving/engine_fleet.h"
 #include "serving/part_quarantine.h"
 #include "serving/shared_quota.h"
+#include "serving/store_contact.h"
 
 namespace bluebell::serving {
 
@@ -69,6 +70,8 @@
   std::vector<residency_notice> notices;
   /// Crashes of endpoints seen by this host, by fingerprint of the request.
   std::map<std::string, int> crashes;
+  /// None if the host does not read the store.
+  std::optional<store_contact_report> store;
   /// Prompt parts that may crash engines.
   std::vector<part_evidence> parts;
 };
