edge: an engine that says in an answer that it leaves gets no more requests

Hosts did not read the field.

engine_statement is what an endpoint states of itself in an answer to any request: a caller's, a report or an order. engine_records joins it with the records of the store: for one process it is final, so it survives an older record, a change of the reader, and a read that fails.

--- a/packages/edge/edge_state.h
+++ b/packages/edge/edge_state.h
@@ -13,6 +13,7 @@
 #include "edge/edge_metrics.h"
 #include "edge/edge_settings.h"
 #include "edge/engine_connections.h"
+#include "edge/engine_records.h"
 #include "edge/request_dialect.h"
 #include "routing/quarantine.h"
 #include "serving/demand_average.h"
@@ -51,6 +52,7 @@
         log(source, settings.id),
         store_contact(source),
         fleet(source, settings.zone, seed),
+        records(source, log, metrics, fleet, changed),
         quota(source, seed),
         retries(source, settings.retries),
         freshness(source, settings.key_withdrawal),
@@ -76,6 +78,11 @@
            !fleet.engines().empty();
   }
 
+  /// Applies what an answer from the address of `engine` states of it.
+  void OnAnswer(const endpoint_id& engine, const http_response& head) {
+    records.OnStatement(engine, dialect.ReadStatement(head));
+  }
+
   boost::asio::io_context& io;
   clock& time;
   const edge_settings settings;
@@ -104,6 +111,7 @@
   edge_metrics metrics;
   serving::store_contact store_contact;
   serving::engine_fleet fleet;
+  engine_records records;
   serving::shared_quota quota;
   serving::service_retry_budget retries;
   serving::key_freshness freshness;
--- /dev/null
+++ b/packages/edge/engine_records.cpp
@@ -0,0 +1,53 @@
+#include "edge/engine_records.h"
+
+#include <utility>
+
+namespace bluebell::edge {
+
+void engine_records::Apply(
+    const serving::store_version& version,
+    std::vector<serving::engine_record> records,
+    const std::map<endpoint_id, serving::store_version>& kept,
+    const std::string& source, clock::time_point read_at) {
+  view_.Apply(version, std::move(records), kept);
+  Publish(source, read_at);
+}
+
+void engine_records::OnStatement(const endpoint_id& engine,
+                                 const serving::engine_statement& statement) {
+  const bool from_another =
+      !statement.engine.value().empty() && statement.engine != engine;
+  if (from_another) return;
+  if (statement.leaving && view_.OnLeaving(engine)) {
+    Publish("engine", clock_.now());
+  }
+}
+
+void engine_records::Publish(const std::string& source,
+                             clock::time_point known_at) {
+  auto records = view_.Records();
+  std::map<endpoint_id, bool> leaving;
+  for (const auto& record : records) leaving[record.id] = record.leaving;
+  const auto log = [&](const endpoint_id& engine, const char* state) {
+    log_.Write("engine_state",
+               {{"engine", engine.value()},
+                {"state", state},
+                {"source", source},
+                {"age_ms", MillisecondText(clock_.now() - known_at)}});
+  };
+  for (const auto& [engine, leaves] : leaving) {
+    const auto before = leaving_.find(engine);
+    if (before == leaving_.end() || before->second != leaves) {
+      log(engine, leaves ? "leaving" : "ready");
+    }
+  }
+  for (const auto& [engine, left] : leaving_) {
+    if (leaving.count(engine) == 0) log(engine, "gone");
+  }
+  leaving_ = std::move(leaving);
+  if (!fleet_.Replace(std::move(records))) return;
+  metrics_.SetGauge("engines", static_cast<double>(fleet_.engines().size()));
+  changed_.Notify();
+}
+
+}  // namespace bluebell::edge
--- /dev/null
+++ b/packages/edge/engine_records.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "edge/change_signal.h"
+#include "edge/decision_log.h"
+#include "edge/edge_metrics.h"
+#include "serving/engine_fleet.h"
+#include "serving/engine_statement.h"
+#include "serving/engine_view.h"
+
+namespace bluebell::edge {
+
+/// The endpoint records that this host goes by. Passes them on to the fleet,
+/// and logs from which source each change of an engine's state is known.
+class engine_records {
+ public:
+  /// All arguments must outlive the object.
+  engine_records(const clock& source, decision_log& log, edge_metrics& metrics,
+                 serving::engine_fleet& fleet, change_signal& changed)
+      : clock_(source),
+        log_(log),
+        metrics_(metrics),
+        fleet_(fleet),
+        changed_(changed) {}
+
+  const serving::store_version& version() const { return view_.version(); }
+  /// `engine_view::Apply`. `source`: "store", or the host that was followed;
+  /// `read_at`: when it read the records.
+  void Apply(const serving::store_version& version,
+             std::vector<serving::engine_record> records,
+             const std::map<endpoint_id, serving::store_version>& kept,
+             const std::string& source, clock::time_point read_at);
+  /// `engine_view::Confirm`.
+  void Confirm(const serving::store_version& version) {
+    view_.Confirm(version);
+  }
+  /// An answer from the address of `engine` held `statement`.
+  void OnStatement(const endpoint_id& engine,
+                   const serving::engine_statement& statement);
+
+ private:
+  void Publish(const std::string& source, clock::time_point known_at);
+
+  const clock& clock_;
+  decision_log& log_;
+  edge_metrics& metrics_;
+  serving::engine_fleet& fleet_;
+  change_signal& changed_;
+  serving::engine_view view_;
+  /// Whether each engine is leaving, as published last.
+  std::map<endpoint_id, bool> leaving_;
+};
+
+}  // namespace bluebell::edge
--- a/packages/edge/placement_runner.cpp
+++ b/packages/edge/placement_runner.cpp
@@ -351,6 +351,7 @@
     if (lease->connection->Send(request, kOrderTimeout, yield, true)) {
       const auto head = lease->connection->ReadHead(kOrderTimeout, yield);
       if (head) {
+        host_.OnAnswer(order.engine, *head);
         detail = std::to_string(head->status);
         result = head->status == 202   ? order_result::kAccepted
                  : head->status == 200 ? order_result::kDone
@@ -407,7 +408,9 @@
     return std::nullopt;
   }
   const auto head = lease->connection->ReadHead(kOrderTimeout, yield);
-  if (!head || head->status != 200) return std::nullopt;
+  if (!head) return std::nullopt;
+  host_.OnAnswer(id, *head);
+  if (head->status != 200) return std::nullopt;
   const auto body =
       lease->connection->ReadBody(1024 * 1024, kOrderTimeout, yield);
   if (!body) return std::nullopt;
--- a/packages/edge/request_dialect.h
+++ b/packages/edge/request_dialect.h
@@ -11,6 +11,7 @@
 #include "gateway/http_types.h"
 #include "serving/copy_planner.h"
 #include "serving/engine_record.h"
+#include "serving/engine_statement.h"
 
 namespace bluebell::edge {
 
@@ -94,6 +95,9 @@
                                      const engine_call& call) const = 0;
   virtual engine_answer ReadAnswer(const http_response& head,
                                    const request_id& expected) const = 0;
+  /// Parses what an endpoint states of itself in an answer to any request.
+  virtual serving::engine_statement ReadStatement(
+      const http_response& head) const = 0;
   /// Header fields of the engine's answer that are forwarded to the caller.
   virtual gateway::http_fields CallerFields(
       const http_response& head) const = 0;
--- a/packages/edge/request_send.cpp
+++ b/packages/edge/request_send.cpp
@@ -203,7 +203,9 @@
   if (!connection.Send(report_request, kLivenessTimeout, yield_, true))
     return false;
   const auto head = connection.ReadHead(kLivenessTimeout, yield_);
-  if (!head || head->status != 200) return false;
+  if (!head) return false;
+  host_.OnAnswer(id, *head);
+  if (head->status != 200) return false;
   return connection.ReadBody(kMaxAnswerBytes, kLivenessTimeout, yield_) &&
          connection.reusable();
 }
@@ -237,6 +239,7 @@
     last_detail_ = head.error().detail;
     return OnConnectionLost();
   }
+  host_.OnAnswer(id, *head);
   auto answer_info = host_.dialect.ReadAnswer(*head, caller_.id);
   // An answer to an earlier request may precede the expected one.
   for (int extra = 0; !answer_info.matches_request && extra < 2; ++extra) {
@@ -246,6 +249,7 @@
     connection.ExpectNextResponse();
     head = connection.ReadHead(std::max(TimeLeft(), milliseconds(1)), yield_);
     if (!head) return OnConnectionLost();
+    host_.OnAnswer(id, *head);
     answer_info = host_.dialect.ReadAnswer(*head, caller_.id);
   }
   if (!answer_info.matches_request) {
--- a/packages/edge/store_sync.cpp
+++ b/packages/edge/store_sync.cpp
@@ -92,8 +92,8 @@
       log_.Update(read->version, *read->records,
                   host_.store_contact.MayLackRecords());
       if (Supersede({kOwnReads, "", log_.end()}, log_.version())) {
-        view_.Apply(log_.version(), log_.Records(), log_.Kept());
-        PublishRecords(kOwnReads, now);
+        host_.records.Apply(log_.version(), log_.Records(), log_.Kept(),
+                            kOwnReads, now);
       }
       LogKeptRecords();
     }
@@ -191,64 +191,29 @@
   records_at_ = std::max(records_at_, read_at);
   if (Supersede({followed_host_, response->records.log, position},
                 response->records.version)) {
-    view_.Apply(response->records.version, follower_.Records(),
-                response->records.kept);
-    PublishRecords(followed_host_, read_at);
+    host_.records.Apply(response->records.version, follower_.Records(),
+                        response->records.kept, followed_host_, read_at);
   }
 }
 
 bool store_sync::Supersede(const record_source& source,
                            const serving::store_version& version) {
-  const bool ignored = version < view_.version();
+  const bool ignored = version < host_.records.version();
   if (ignored && !ignored_) {
     host_.log.Write("records_ignored",
                     {{"source", source.name},
                      {"version", VersionText(version)},
-                     {"newest", VersionText(view_.version())}});
+                     {"newest", VersionText(host_.records.version())}});
   }
   ignored_ = ignored;
   if (ignored) return false;
   const bool unchanged =
       source.log == applied_.log && source.position == applied_.position;
-  if (unchanged) view_.Confirm(version);
+  if (unchanged) host_.records.Confirm(version);
   applied_ = source;
   return !unchanged;
 }
 
-void store_sync::PublishRecords(const std::string& source,
-                                clock::time_point read_at) {
-  auto records = view_.Records();
-  LogEngineStates(records, source, read_at);
-  if (!host_.fleet.Replace(std::move(records))) return;
-  host_.metrics.SetGauge("engines",
-                         static_cast<double>(host_.fleet.engines().size()));
-  host_.changed.Notify();
-}
-
-void store_sync::LogEngineStates(
-    const std::vector<serving::engine_record>& records,
-    const std::string& source, clock::time_point read_at) {
-  std::map<endpoint_id, bool> leaving;
-  for (const auto& record : records) leaving[record.id] = record.leaving;
-  const auto log = [&](const endpoint_id& engine, const char* state) {
-    host_.log.Write("engine_state",
-                    {{"engine", engine.value()},
-                     {"state", state},
-                     {"source", source},
-                     {"age_ms", MillisecondText(host_.time.now() - read_at)}});
-  };
-  for (const auto& [engine, leaves] : leaving) {
-    const auto before = leaving_.find(engine);
-    if (before == leaving_.end() || before->second != leaves) {
-      log(engine, leaves ? "leaving" : "ready");
-    }
-  }
-  for (const auto& [engine, left] : leaving_) {
-    if (leaving.count(engine) == 0) log(engine, "gone");
-  }
-  leaving_ = std::move(leaving);
-}
-
 void store_sync::LogKeptRecords() {
   std::string kept;
   for (const auto& [engine, listed] : log_.Kept()) kept += engine.value() + " ";
--- a/packages/edge/store_sync.h
+++ b/packages/edge/store_sync.h
@@ -2,13 +2,11 @@
 
 #include <boost/asio/spawn.hpp>
 #include <functional>
-#include <map>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "edge/edge_state.h"
-#include "serving/engine_view.h"
 #include "serving/record_log.h"
 #include "serving/sync_messages.h"
 
@@ -66,11 +64,6 @@
   // goes by. Earlier ones do not.
   bool Supersede(const record_source& source,
                  const serving::store_version& version);
-  // `read_at`: when the records in `view_` were read.
-  void PublishRecords(const std::string& source, clock::time_point read_at);
-  // Logs each engine that became ready, leaving or gone by these records.
-  void LogEngineStates(const std::vector<serving::engine_record>& records,
-                       const std::string& source, clock::time_point read_at);
   void LogKeptRecords();
   milliseconds TimeToNextListing() const;
   milliseconds RetryInterval() const;
@@ -94,12 +87,9 @@
   clock::time_point request_sent_at_;
   clock::time_point records_at_;
   std::uint64_t newest_version_ = 0;
-  serving::engine_view view_;
   record_source applied_;
   /// The last records were of an earlier version.
   bool ignored_ = false;
-  /// Whether each engine of the applied records is leaving.
-  std::map<endpoint_id, bool> leaving_;
   std::string kept_;
 };
 
