edge: read and log the limits and pauses that engines name; timeline

The logs did not say when an engine named a limit, or asked a host to pause. engine_limit and engine_pause do, with the status of the answer; nothing acts on them yet.

--- a/packages/edge/edge_state.h
+++ b/packages/edge/edge_state.h
@@ -80,7 +80,7 @@
 
   /// Applies what an answer from the address of `engine` states of it.
   void OnAnswer(const endpoint_id& engine, const http_response& head) {
-    records.OnStatement(engine, dialect.ReadStatement(head));
+    records.OnStatement(engine, head.status, dialect.ReadStatement(head));
   }
 
   boost::asio::io_context& io;
