serving, edge: hosts together keep the limit that an engine names

Cause: hosts did not read the field. A share per host, as of the quotas of client accounts, would not do: a few requests a second over up to hundreds of hosts leave less than one request a share, and hosts that spend their shares at the same moment exceed the limit.

engine_limits keeps what each engine has named, when it was last heard, and when a request was sent that was answered without it; hosts tell each other in their digests, so a limit also reaches hosts that have just started, and ends when any host hears its end. A process that began later has none. For each engine one of the three first hosts grants permits, by datagram, for everything that is sent to it: first attempts, retries, resumed streams, orders and reports; connections to it are not verified by a request. Owners start empty, and grant the live fraction of the rate, so two groups of hosts that cannot hear each other stay within the sum. A request goes to another engine, or is refused at once with the time until the next permit. Planning counts such an engine by its limit, and sends it no orders for models.

--- a/packages/edge/digest_exchange.cpp
+++ b/packages/edge/digest_exchange.cpp
@@ -1,10 +1,14 @@
 #include "edge/digest_exchange.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <set>
 
 #include "base/address.h"
+#include "edge/engine_statements.h"
 #include "edge/pause.h"
+#include "serving/permit_messages.h"
 
 namespace bluebell::edge {
 namespace {
@@ -46,6 +50,10 @@
 constexpr char kDigestTag = 'D';
 constexpr char kSyncRequestTag = 'Q';
 constexpr char kSyncResponseTag = 'A';
+constexpr char kPermitRequestTag = 'P';
+constexpr char kPermitResponseTag = 'G';
+// A permit owner answers within a round trip of a few milliseconds.
+constexpr milliseconds kPermitTimeout{100};
 // A lost adapter request is sent again by the requests waiting for the adapter.
 constexpr milliseconds kAdapterRequestInterval{80};
 
@@ -103,6 +111,12 @@
       case kSyncResponseTag:
         sync_.OnSyncResponse(bytes);
         break;
+      case kPermitRequestTag:
+        HandlePermitRequest(bytes, sender);
+        break;
+      case kPermitResponseTag:
+        HandlePermitResponse(bytes);
+        break;
       default:
         host_.metrics.Count("datagram_unknown");
     }
@@ -150,6 +164,9 @@
   }
   const auto late = host_.directory.Lateness(*digest);
   host_.parts.OnEvidence(digest->parts, late);
+  for (const auto& notice : digest->limits) {
+    OnLimitNotice(host_, digest->host.value(), notice, late);
+  }
   if (digest->store) host_.store_contact.OnPeer(*digest->store, late);
   if (digest->leaving) host_.fleet.OnPeerGone(digest->host);
   demand_[digest->host] = digest->demand;
@@ -280,6 +297,59 @@
   SendTo(holder->digest_address, kDigestTag, serving::EncodeDigest(digest));
 }
 
+serving::send_permit digest_exchange::AskPermit(const endpoint_id& engine,
+                                                asio::yield_context yield) {
+  const auto notice = host_.limits.NoticeOf(engine);
+  if (!notice) return {};
+  const auto hash = XXH64(engine.value().data(), engine.value().size(), 0);
+  const auto* owner = host_.directory.PermitOwner(hash, host_.Serving());
+  if (owner == nullptr) {
+    return host_.limits.Take(engine, host_.directory.LiveFraction());
+  }
+  const auto number = ++permit_number_;
+  permits_[number] = std::nullopt;
+  SendTo(owner->digest_address, kPermitRequestTag,
+         serving::EncodePermitRequest({number, *notice}));
+  const auto deadline = host_.time.now() + kPermitTimeout;
+  while (!permits_[number] && host_.time.now() < deadline) {
+    host_.changed.Wait(deadline - host_.time.now(), yield);
+  }
+  const auto permit =
+      permits_[number].value_or(serving::send_permit{false, kPermitTimeout});
+  if (!permits_[number]) {
+    host_.log.Write("permit_unanswered", {{"engine", engine.value()}});
+  }
+  permits_.erase(number);
+  return permit;
+}
+
+void digest_exchange::HandlePermitRequest(std::string_view bytes,
+                                          const std::string& from) {
+  const auto request = serving::DecodePermitRequest(bytes);
+  if (!request) {
+    host_.log.Write("question_unreadable",
+                    {{"detail", request.error().detail}});
+    return;
+  }
+  OnLimitNotice(host_, from, request->limit, clock::duration(0));
+  const auto permit =
+      host_.limits.Take(request->limit.engine, host_.directory.LiveFraction());
+  SendTo(from, kPermitResponseTag,
+         serving::EncodePermitResponse({request->number, permit}));
+}
+
+void digest_exchange::HandlePermitResponse(std::string_view bytes) {
+  const auto response = serving::DecodePermitResponse(bytes);
+  if (!response) {
+    host_.log.Write("answer_unreadable", {{"detail", response.error().detail}});
+    return;
+  }
+  const auto waiting = permits_.find(response->number);
+  if (waiting == permits_.end()) return;
+  waiting->second = response->permit;
+  host_.changed.Notify();
+}
+
 void digest_exchange::SendNotice(const serving::residency_notice& notice) {
   auto digest = BuildPartialDigest();
   digest.notices.push_back(notice);
@@ -322,6 +392,7 @@
   if (notices) digest.notices = notices();
   digest.crashes = host_.crashes.OwnCrashes();
   digest.parts = host_.parts.Evidence();
+  digest.limits = host_.limits.Notices();
   digest.store = host_.store_contact.Report();
   return digest;
 }
--- a/packages/edge/digest_exchange.h
+++ b/packages/edge/digest_exchange.h
@@ -5,6 +5,7 @@
 #include <boost/asio/spawn.hpp>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,10 @@
   /// Sends a residency change to the hosts that get each digest; called by the
   /// placement lease holder.
   void SendNotice(const serving::residency_notice& notice);
+  /// Asks the engine's permit owner, which may be this host, for one request.
+  /// Denied if the owner does not answer.
+  serving::send_permit AskPermit(const endpoint_id& engine,
+                                 boost::asio::yield_context yield);
   /// Sends a digest to every known host immediately.
   void SendToEveryHost() { SendDigests(true); }
 
@@ -60,6 +65,8 @@
   serving::host_digest BuildDigest();
   void HandleDigest(std::string_view bytes, const std::string& from);
   void SendTo(const std::string& address, char tag, const std::string& bytes);
+  void HandlePermitRequest(std::string_view bytes, const std::string& from);
+  void HandlePermitResponse(std::string_view bytes);
   serving::host_digest BuildPartialDigest() const;
   void SendDigests(bool every_host);
   void UpdateRole();
@@ -82,6 +89,9 @@
   clock::time_point requests_counted_at_;
   clock::time_point in_use_until_;
   std::map<host_id, std::vector<serving::model_rate>> demand_;
+  std::uint64_t permit_number_ = 0;
+  /// Requests for permits that wait for their response.
+  std::map<std::uint64_t, std::optional<serving::send_permit>> permits_;
   /// When the placement lease holder was last sent a request for an adapter.
   std::map<std::pair<model_id, adapter_id>, clock::time_point>
       adapter_requests_sent_;
--- a/packages/edge/edge_host.cpp
+++ b/packages/edge/edge_host.cpp
@@ -151,6 +151,9 @@
       [host](const serving::adapter_request& request) {
         host->exchange->SendAdapterRequest(request);
       };
+  host->state.ask_permit = [host](const endpoint_id& engine, auto yield) {
+    return host->exchange->AskPermit(engine, yield);
+  };
 
   std::optional<error> failed;
   const auto listen = [&](const std::string& address,
--- a/packages/edge/edge_state.h
+++ b/packages/edge/edge_state.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/spawn.hpp>
+#include <functional>
 #include <memory>
 #include <random>
 #include <set>
@@ -18,6 +20,7 @@
 #include "routing/quarantine.h"
 #include "serving/demand_average.h"
 #include "serving/engine_fleet.h"
+#include "serving/engine_limits.h"
 #include "serving/host_directory.h"
 #include "serving/key_freshness.h"
 #include "serving/part_quarantine.h"
@@ -53,6 +56,7 @@
         store_contact(source),
         fleet(source, settings.zone, seed),
         records(source, log, metrics, fleet, changed),
+        limits(source),
         quota(source, seed),
         retries(source, settings.retries),
         freshness(source, settings.key_withdrawal),
@@ -78,11 +82,6 @@
            !fleet.engines().empty();
   }
 
-  /// Applies what an answer from the address of `engine` states of it.
-  void OnAnswer(const endpoint_id& engine, const http_response& head) {
-    records.OnStatement(engine, head.status, dialect.ReadStatement(head));
-  }
-
   boost::asio::io_context& io;
   clock& time;
   const edge_settings settings;
@@ -105,6 +104,12 @@
   /// Asks the placement lease holder for an adapter that a request waits for.
   std::function<void(const serving::adapter_request&)> request_adapter;
 
+  /// Asks the permit owner of an engine for one request to it; not set if this
+  /// host is alone.
+  std::function<serving::send_permit(const endpoint_id&,
+                                     boost::asio::yield_context)>
+      ask_permit;
+
   change_signal changed;
   engine_connections connections;
   decision_log log;
@@ -112,6 +117,7 @@
   serving::store_contact store_contact;
   serving::engine_fleet fleet;
   engine_records records;
+  serving::engine_limits limits;
   serving::shared_quota quota;
   serving::service_retry_budget retries;
   serving::key_freshness freshness;
--- a/packages/edge/engine_records.cpp
+++ b/packages/edge/engine_records.cpp
@@ -1,8 +1,5 @@
 #include "edge/engine_records.h"
 
-#include <fmt/format.h>
-
-#include <optional>
 #include <utility>
 
 namespace bluebell::edge {
@@ -16,42 +13,13 @@
   Publish(source, read_at);
 }
 
-void engine_records::OnStatement(const endpoint_id& engine, int status,
+void engine_records::OnStatement(const endpoint_id& engine,
                                  const serving::engine_statement& statement) {
-  const bool from_another =
-      !statement.engine.value().empty() && statement.engine != engine;
-  if (from_another) return;
-  LogLimit(engine, status, statement);
   if (statement.leaving && view_.OnLeaving(engine)) {
     Publish("engine", clock_.now());
   }
 }
 
-void engine_records::LogLimit(const endpoint_id& engine, int status,
-                              const serving::engine_statement& statement) {
-  const auto logged = limits_.find(engine);
-  const auto before =
-      logged == limits_.end() ? std::nullopt : std::optional(logged->second);
-  if (before != statement.limit_per_s) {
-    log_.Write("engine_limit",
-               {{"engine", engine.value()},
-                {"limit", statement.limit_per_s
-                              ? fmt::format("{:.3g}", *statement.limit_per_s)
-                              : ""},
-                {"status", std::to_string(status)}});
-    if (statement.limit_per_s) {
-      limits_[engine] = *statement.limit_per_s;
-    } else {
-      limits_.erase(engine);
-    }
-  }
-  if (statement.pause) {
-    log_.Write("engine_pause",
-               {{"engine", engine.value()},
-                {"ms", std::to_string(statement.pause->count())}});
-  }
-}
-
 void engine_records::Publish(const std::string& source,
                              clock::time_point known_at) {
   auto records = view_.Records();
--- a/packages/edge/engine_records.h
+++ b/packages/edge/engine_records.h
@@ -37,13 +37,11 @@
   void Confirm(const serving::store_version& version) {
     view_.Confirm(version);
   }
-  /// An answer with `status` from the address of `engine` held `statement`.
-  void OnStatement(const endpoint_id& engine, int status,
+  /// An answer of `engine` held `statement`.
+  void OnStatement(const endpoint_id& engine,
                    const serving::engine_statement& statement);
 
  private:
-  void LogLimit(const endpoint_id& engine, int status,
-                const serving::engine_statement& statement);
   void Publish(const std::string& source, clock::time_point known_at);
 
   const clock& clock_;
@@ -54,8 +52,6 @@
   serving::engine_view view_;
   /// Whether each engine is leaving, as published last.
   std::map<endpoint_id, bool> leaving_;
-  /// Limits as logged last.
-  std::map<endpoint_id, double> limits_;
 };
 
 }  // namespace bluebell::edge
--- /dev/null
+++ b/packages/edge/engine_statements.cpp
@@ -0,0 +1,62 @@
+#include "edge/engine_statements.h"
+
+#include <fmt/format.h>
+
+namespace bluebell::edge {
+namespace {
+
+std::int64_t StartOf(const edge_state& host, const endpoint_id& engine) {
+  const auto* found = host.fleet.Find(engine);
+  return found == nullptr ? 0 : found->record.started_ms;
+}
+
+// Logs a change of the limit from `before`.
+void LogLimit(edge_state& host, const endpoint_id& engine,
+              std::optional<double> before, const std::string& source) {
+  const auto limit = host.limits.Limit(engine);
+  if (limit == before) return;
+  host.log.Write("engine_limit",
+                 {{"engine", engine.value()},
+                  {"limit", limit ? fmt::format("{:.3g}", *limit) : ""},
+                  {"source", source}});
+  if (!limit) host.changed.Notify();
+}
+
+}  // namespace
+
+void OnEngineAnswer(edge_state& host, const endpoint_id& engine,
+                    const http_response& head,
+                    std::optional<clock::time_point> sent) {
+  const auto statement = host.dialect.ReadStatement(head);
+  const bool from_another =
+      !statement.engine.value().empty() && statement.engine != engine;
+  if (from_another) return;
+  host.records.OnStatement(engine, statement);
+  const auto before = host.limits.Limit(engine);
+  if (statement.limit_per_s) {
+    host.limits.OnNamed(engine, StartOf(host, engine), *statement.limit_per_s);
+  } else if (sent) {
+    host.limits.OnNoneNamed(engine, StartOf(host, engine), *sent);
+  }
+  LogLimit(host, engine, before, "answer " + std::to_string(head.status));
+}
+
+void OnLimitNotice(edge_state& host, const std::string& sender,
+                   const serving::limit_notice& notice, clock::duration late) {
+  const auto before = host.limits.Limit(notice.engine);
+  host.limits.OnNotice(notice, late);
+  LogLimit(host, notice.engine, before, sender);
+}
+
+serving::send_permit TakePermit(edge_state& host, const endpoint_id& engine,
+                                boost::asio::yield_context yield) {
+  if (!host.limits.Limit(engine)) return {};
+  const auto denied_for = host.limits.DeniedFor(engine);
+  if (denied_for > clock::duration(0)) return {false, denied_for};
+  const auto permit = host.ask_permit ? host.ask_permit(engine, yield)
+                                      : host.limits.Take(engine, 1);
+  if (!permit.granted) host.limits.OnDenied(engine, permit);
+  return permit;
+}
+
+}  // namespace bluebell::edge
--- a/packages/edge/placement_runner.cpp
+++ b/packages/edge/placement_runner.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "edge/engine_statements.h"
 #include "edge/pause.h"
 #include "gateway/network.h"
 #include "serving/adapter_planner.h"
@@ -42,6 +43,8 @@
 // Lower bound of the service time assumed in planning, so that a few short
 // requests at the start do not overstate the capacity of a copy.
 constexpr double kMinServiceSeconds = 0.6;
+// Lower bound of an engine's limit in planning, requests per second.
+constexpr double kMinLimit = 0.01;
 // An order is abandoned after this many times its expected duration; the
 // engine's report then shows its result.
 constexpr double kOrderTimeoutFactor = 4;
@@ -180,7 +183,8 @@
                                                 : engine.Resident(now);
     planned.in_memory = orders.inventory.in_memory();
     planned.on_disk = orders.inventory.on_disk();
-    planned.busy = !IsFree(orders);
+    // An engine with a limit needs its permits for requests.
+    planned.busy = !IsFree(orders) || host_.limits.Limit(id);
     planned.step_time_ratio = host_.fleet.step_times().Ratio(id);
     if (orders.loading && !planned.resident.count(*orders.loading)) {
       planned.loading = orders.loading;
@@ -196,6 +200,13 @@
         kTargetSlotFraction * (slots / count) /
         std::max(kMinServiceSeconds, service_time / count);
   }
+  for (auto& engine : input.engines) {
+    const auto limit = host_.limits.Limit(engine.id);
+    if (!limit) continue;
+    engine.step_time_ratio =
+        std::max(engine.step_time_ratio,
+                 input.target_rate_per_copy / std::max(*limit, kMinLimit));
+  }
   std::set<std::pair<model_id, adapter_id>> adapters;
   const auto add_rate = [&](const serving::model_rate& entry) {
     if (entry.adapter.value().empty()) {
@@ -336,8 +347,11 @@
   const std::int64_t expected = before.inventory.order_count();
   auto result = order_result::kEngineGone;
   std::string detail;
-  auto lease = host_.connections.Take(order.engine, address, kOrderTimeout,
-                                      kOrderTimeout, yield);
+  const auto permit = TakePermit(host_, order.engine, yield);
+  auto lease = permit.granted
+                   ? host_.connections.Take(order.engine, address,
+                                            kOrderTimeout, kOrderTimeout, yield)
+                   : Fail(error_code::kUnavailable, "the engine's limit");
   // Checked after connecting, since the lease may have ended meanwhile.
   if (!lease) {
     detail = lease.error().detail;
@@ -351,7 +365,7 @@
     if (lease->connection->Send(request, kOrderTimeout, yield, true)) {
       const auto head = lease->connection->ReadHead(kOrderTimeout, yield);
       if (head) {
-        host_.OnAnswer(order.engine, *head);
+        OnEngineAnswer(host_, order.engine, *head);
         detail = std::to_string(head->status);
         result = head->status == 202   ? order_result::kAccepted
                  : head->status == 200 ? order_result::kDone
@@ -400,6 +414,7 @@
   if (engine == nullptr) return std::nullopt;
   const auto started_ms = engine->record.started_ms;
   const std::string address = engine->record.address;
+  if (!TakePermit(host_, id, yield).granted) return std::nullopt;
   auto lease =
       host_.connections.Take(id, address, kOrderTimeout, kOrderTimeout, yield);
   if (!lease) return std::nullopt;
@@ -409,7 +424,7 @@
   }
   const auto head = lease->connection->ReadHead(kOrderTimeout, yield);
   if (!head) return std::nullopt;
-  host_.OnAnswer(id, *head);
+  OnEngineAnswer(host_, id, *head);
   if (head->status != 200) return std::nullopt;
   const auto body =
       lease->connection->ReadBody(1024 * 1024, kOrderTimeout, yield);
--- a/packages/edge/relayed_request.h
+++ b/packages/edge/relayed_request.h
@@ -86,6 +86,8 @@
   // Chooses an engine. Waits for a model or an adapter that is being loaded
   // while enough time remains to run the request; otherwise returns at once.
   serving::engine_choice WaitForEngine();
+  // Chooses an engine and takes a permit to send to it, or chooses another.
+  serving::engine_choice ChooseWithPermit();
   // Time for which the caller waits for the first event or the answer.
   clock::duration CallerTimeout() const;
   clock::duration MaxSlotWait() const;
@@ -107,6 +109,8 @@
                        const engine_answer& answer_info);
   void ReturnConnection(const endpoint_id& id, engine_connections::lease& lease,
                         const engine_answer& answer_info);
+  // Reads the head of an answer from the address of `id`.
+  engine_answer ReadAnswer(const endpoint_id& id, const http_response& head);
   // Forwards complete events as they arrive. A stream that ends early is
   // aborted, or resumed after its last event by another send.
   send_result RelayStream(const endpoint_id& id,
--- a/packages/edge/request_relay.cpp
+++ b/packages/edge/request_relay.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 
+#include "edge/engine_statements.h"
 #include "edge/relayed_request.h"
 
 namespace bluebell::edge {
@@ -232,9 +233,10 @@
   const auto wait_until =
       received_at_ + FractionOf(CallerTimeout(), kWaitFraction);
   while (true) {
-    auto choice = host_.fleet.Choose(requirements_, MaxSlotWait(), tried_);
+    auto choice = ChooseWithPermit();
     if (IsInterrupted() || choice.status == choice_status::kChosen ||
-        choice.status == choice_status::kBusy) {
+        choice.status == choice_status::kBusy ||
+        choice.status == choice_status::kLimited) {
       return choice;
     }
     const bool may_come = choice.status == choice_status::kNoAdapter ||
@@ -250,6 +252,27 @@
   }
 }
 
+engine_choice relayed_request::ChooseWithPermit() {
+  auto excluded = tried_;
+  std::optional<clock::duration> limited_for;
+  while (true) {
+    auto choice = host_.fleet.Choose(requirements_, MaxSlotWait(), excluded);
+    if (choice.status != choice_status::kChosen) {
+      if (limited_for) return {choice_status::kLimited, {}, *limited_for};
+      return choice;
+    }
+    const auto permit = TakePermit(host_, choice.engine, yield_);
+    // The engine may have left while its permit owner was asked.
+    const auto* engine = host_.fleet.Find(choice.engine);
+    const bool stays = engine != nullptr && !engine->record.leaving;
+    if (permit.granted && stays) return choice;
+    if (!permit.granted) {
+      limited_for = std::min(limited_for.value_or(permit.wait), permit.wait);
+    }
+    excluded.insert(choice.engine);
+  }
+}
+
 clock::duration relayed_request::CallerTimeout() const {
   const auto time = deadline_ - received_at_;
   if (!route_->streaming) return time;
@@ -287,6 +310,10 @@
     case choice_status::kBusy:
       Refuse(503, "engines_busy", ToMilliseconds(choice.wait) + RetryJitter());
       return;
+    case choice_status::kLimited:
+      Refuse(503, "engines_limited",
+             ToMilliseconds(choice.wait) + RetryJitter());
+      return;
     case choice_status::kNoModel:
       Refuse(503, "model_not_loaded", RetryDelay());
       return;
--- a/packages/edge/request_send.cpp
+++ b/packages/edge/request_send.cpp
@@ -2,6 +2,7 @@
 #include <string_view>
 #include <utility>
 
+#include "edge/engine_statements.h"
 #include "edge/relayed_request.h"
 #include "edge/stream_events.h"
 #include "gateway/listener_probe.h"
@@ -153,10 +154,13 @@
   last_engine_ = id;
   const auto timeout =
       std::min(kConnectTimeout, std::max(TimeLeft(), milliseconds(1)));
-  // Plain endpoints do not answer report requests.
+  // Plain endpoints do not answer report requests, and at an engine with a
+  // limit these would count.
+  const bool may_verify = is_model_ && !host_.limits.Limit(id);
   auto lease = host_.connections.Take(
       id, engine_address_,
-      repeatable || is_model_ ? kMaxIdle : kMaxUnverifiedIdle, timeout, yield_);
+      repeatable || may_verify ? kMaxIdle : kMaxUnverifiedIdle, timeout,
+      yield_);
   if (lease && !repeatable && lease->idle > kMaxUnverifiedIdle &&
       !IsAlive(id, *lease)) {
     lease = host_.connections.Take(id, engine_address_, clock::duration(0),
@@ -204,12 +208,21 @@
     return false;
   const auto head = connection.ReadHead(kLivenessTimeout, yield_);
   if (!head) return false;
-  host_.OnAnswer(id, *head);
+  OnEngineAnswer(host_, id, *head);
   if (head->status != 200) return false;
   return connection.ReadBody(kMaxAnswerBytes, kLivenessTimeout, yield_) &&
          connection.reusable();
 }
 
+engine_answer relayed_request::ReadAnswer(const endpoint_id& id,
+                                          const http_response& head) {
+  auto answer = host_.dialect.ReadAnswer(head, caller_.id);
+  const bool ran = answer.matches_request && !answer.not_run &&
+                   head.status >= 200 && head.status < 300;
+  OnEngineAnswer(host_, id, head, ran ? std::optional(sent_at_) : std::nullopt);
+  return answer;
+}
+
 send_result relayed_request::Exchange(const endpoint_id& id,
                                       engine_connections::lease& lease,
                                       double typical_answer_s) {
@@ -239,8 +252,7 @@
     last_detail_ = head.error().detail;
     return OnConnectionLost();
   }
-  host_.OnAnswer(id, *head);
-  auto answer_info = host_.dialect.ReadAnswer(*head, caller_.id);
+  auto answer_info = ReadAnswer(id, *head);
   // An answer to an earlier request may precede the expected one.
   for (int extra = 0; !answer_info.matches_request && extra < 2; ++extra) {
     const auto skipped =
@@ -249,8 +261,7 @@
     connection.ExpectNextResponse();
     head = connection.ReadHead(std::max(TimeLeft(), milliseconds(1)), yield_);
     if (!head) return OnConnectionLost();
-    host_.OnAnswer(id, *head);
-    answer_info = host_.dialect.ReadAnswer(*head, caller_.id);
+    answer_info = ReadAnswer(id, *head);
   }
   if (!answer_info.matches_request) {
     last_detail_ = "answer to another request";
--- a/packages/serving/engine_fleet.h
+++ b/packages/serving/engine_fleet.h
@@ -92,12 +92,15 @@
   kNoAdapter,
   /// Every suitable engine is too busy to respond in time.
   kBusy,
+  /// Suitable engines take no more requests for now (`engine_limits`).
+  kLimited,
 };
 
 struct engine_choice {
   choice_status status = choice_status::kNoEngine;
   endpoint_id engine;
-  /// For `kBusy`: expected queueing time at the least busy engine.
+  /// For `kBusy`: expected queueing time at the least busy engine. For
+  /// `kLimited`: time until one of the engines may take another request.
   clock::duration wait{0};
 };
 
--- a/packages/serving/host_digest.cpp
+++ b/packages/serving/host_digest.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "serving/limit_codec.h"
+
 namespace bluebell::serving {
 namespace {
 
@@ -150,6 +152,12 @@
     }
   }
   if (!digest.crashes.empty()) out["crashes"] = digest.crashes;
+  if (!digest.limits.empty()) {
+    json& limits = out["limits"] = json::array();
+    for (const auto& entry : digest.limits) {
+      limits.push_back(EncodeLimit(entry));
+    }
+  }
   if (!digest.parts.empty()) {
     json& parts = out["parts"] = json::array();
     for (const auto& entry : digest.parts) parts.push_back(EncodePart(entry));
@@ -230,6 +238,11 @@
     if (in.contains("crashes")) {
       digest.crashes = in["crashes"].get<std::map<std::string, int>>();
     }
+    if (in.contains("limits")) {
+      for (const auto& row : in["limits"]) {
+        digest.limits.push_back(DecodeLimit(row));
+      }
+    }
     if (in.contains("parts")) {
       for (const auto& row : in["parts"]) {
         digest.parts.push_back(DecodePart(row));
--- a/packages/serving/host_digest.h
+++ b/packages/serving/host_digest.h
@@ -10,6 +10,7 @@
 #include "base/ids.h"
 #include "base/result.h"
 #include "serving/engine_fleet.h"
+#include "serving/engine_limits.h"
 #include "serving/part_quarantine.h"
 #include "serving/shared_quota.h"
 #include "serving/store_contact.h"
@@ -70,6 +71,8 @@
   std::vector<residency_notice> notices;
   /// Crashes of endpoints seen by this host, by fingerprint of the request.
   std::map<std::string, int> crashes;
+  /// Limits that engines have named, as far as this host knows.
+  std::vector<limit_notice> limits;
   /// None if the host does not read the store.
   std::optional<store_contact_report> store;
   /// Prompt parts that may crash engines.
--- a/packages/serving/host_directory.cpp
+++ b/packages/serving/host_directory.cpp
@@ -1,5 +1,7 @@
 #include "serving/host_directory.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -196,6 +198,47 @@
   return live[draw % reader_count].second;
 }
 
+const host_directory::peer* host_directory::PermitOwner(
+    std::uint64_t engine, bool self_may_own) const {
+  std::vector<std::pair<decltype(RankKey(self_, 0)), const peer*>> live;
+  if (self_may_own) live.push_back({RankKey(self_, capacity_), nullptr});
+  for (const auto& [id, peer] : peers_) {
+    if (IsLive(peer)) {
+      live.push_back({RankKey(id, peer.newest.capacity), &peer});
+    }
+  }
+  if (live.empty()) return nullptr;
+  std::sort(live.begin(), live.end());
+  if (live.size() > kPermitOwners) live.resize(kPermitOwners);
+  // The highest combined hash, so that a change of the ranking moves only the
+  // engines of the hosts that come or go.
+  const peer* owner = nullptr;
+  std::uint64_t highest = 0;
+  for (const auto& [rank, candidate] : live) {
+    const auto& id = candidate == nullptr ? self_ : candidate->newest.host;
+    const auto hash = XXH64(id.value().data(), id.value().size(), engine);
+    if (hash < highest) continue;
+    highest = hash;
+    owner = candidate;
+  }
+  return owner;
+}
+
+double host_directory::LiveFraction() const {
+  int live = 1;
+  int known = 1;
+  for (const auto& [id, peer] : peers_) {
+    if (!peer.newest.engaged || peer.newest.leaving ||
+        clock_.now() - peer.heard >= kCountTimeout) {
+      continue;
+    }
+    ++known;
+    if (HeardInTime(peer)) ++live;
+  }
+  if (IsStarting()) known = std::max(known, listed_active_);
+  return static_cast<double>(live) / known;
+}
+
 std::vector<host_id> host_directory::TakeSilentHosts() {
   std::vector<host_id> silent;
   for (const auto& [id, peer] : peers_) {
--- a/packages/serving/host_directory.h
+++ b/packages/serving/host_directory.h
@@ -90,6 +90,12 @@
   /// One of the first `count` hosts of that ranking, selected by the random
   /// number `draw`; null if no other host is live.
   const peer* PickStoreReader(int count, std::uint64_t draw) const;
+  /// The host that grants permits for the engine with hash `engine`: one of the
+  /// first of that ranking. Null if it is this host; `self_may_own`: whether it
+  /// is in the ranking.
+  const peer* PermitOwner(std::uint64_t engine, bool self_may_own) const;
+  /// Live fraction of the hosts that may use a share of a fleet-wide limit.
+  double LiveFraction() const;
   /// Hosts whose digests are due but did not arrive for `kSilenceTimeout`, each
   /// reported once.
   std::vector<host_id> TakeSilentHosts();
@@ -112,6 +118,8 @@
   // digests between all pairs.
   static constexpr std::chrono::milliseconds kStartupPeriod{3000};
   static constexpr std::chrono::seconds kCountTimeout{20};
+  // The first hosts of the ranking, which every host hears.
+  static constexpr std::size_t kPermitOwners = 3;
   // A host that was silent for this long gets digests only if the store lists
   // it.
   static constexpr std::chrono::seconds kPeerExpiry{10};
--- a/packages/serving/tests/host_directory_test.cpp
+++ b/packages/serving/tests/host_directory_test.cpp
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <memory>
+#include <set>
+
 #include "base/manual_clock.h"
 
 namespace bluebell::serving {
@@ -109,6 +112,45 @@
   EXPECT_EQ(directory_.PickStoreReader(1, 17)->newest.host, host_id("strong"));
 }
 
+// Guards against hosts that take permits for one engine from two owners.
+TEST(permit_owner, IsTheSameForAllHosts) {
+  manual_clock clock;
+  std::vector<std::string> ids;
+  for (int i = 0; i < 8; ++i) ids.push_back("h" + std::to_string(i));
+  std::vector<std::unique_ptr<host_directory>> hosts;
+  for (const auto& id : ids) {
+    hosts.push_back(std::make_unique<host_directory>(clock, host_id(id), kZone,
+                                                     id + ":80", 250));
+    for (const auto& other : ids) {
+      hosts.back()->OnDigest(MakeDigest(other, 1), other + ":7600");
+    }
+    hosts.back()->UpdateRole(true);
+  }
+  std::set<host_id> owners;
+  for (std::uint64_t engine = 1; engine <= 50; ++engine) {
+    std::set<host_id> answers;
+    for (std::size_t i = 0; i < hosts.size(); ++i) {
+      const auto* owner = hosts[i]->PermitOwner(engine, true);
+      answers.insert(owner == nullptr ? host_id(ids[i]) : owner->newest.host);
+    }
+    EXPECT_EQ(answers.size(), 1U);
+    owners.insert(*answers.begin());
+  }
+  EXPECT_EQ(owners.size(), 3U) << "the work is divided";
+}
+
+// Guards against two halves of a fleet that each grant the whole limit.
+TEST_F(host_directory_test, SilentHostsKeepTheirFractionOfALimit) {
+  for (const char* id : {"b", "c", "d"}) Receive(MakeDigest(id, 1));
+  clock_.Advance(seconds(4));
+  for (const char* id : {"b", "c", "d"}) Receive(MakeDigest(id, 2));
+  EXPECT_EQ(directory_.LiveFraction(), 1);
+  clock_.Advance(milliseconds(1100));
+  Receive(MakeDigest("b", 3));
+  EXPECT_EQ(directory_.LiveFraction(), 0.5);
+  EXPECT_EQ(directory_.PermitOwner(7, false)->newest.host, host_id("b"));
+}
+
 TEST(host_digest, RoundTrip) {
   auto digest = MakeDigest("b", 3);
   digest.in_flight[endpoint_id("e1")] = 4;
@@ -119,8 +161,14 @@
   digest.outcomes.sends.push_back({endpoint_id("e1"), 7, 2});
   digest.outcomes.step_times.push_back(
       {endpoint_id("e1"), model_id("m"), -2.5, 4});
+  digest.store = {milliseconds(30), seconds(40)};
+  digest.limits.push_back({endpoint_id("e1"), 100, 2.5, milliseconds(60), {}});
   const auto read = DecodeDigest(EncodeDigest(digest));
   ASSERT_TRUE(read);
+  EXPECT_EQ(read->store->read_age, milliseconds(30));
+  EXPECT_EQ(read->store->up_for, seconds(40));
+  EXPECT_EQ(read->limits.at(0).per_s, 2.5);
+  EXPECT_EQ(read->limits.at(0).named_age, milliseconds(60));
   EXPECT_EQ(read->outcomes.sends.at(0).failed, 2);
   EXPECT_EQ(read->outcomes.step_times.at(0).log_seconds, -2.5);
   EXPECT_EQ(read->outcomes.step_times.at(0).count, 4);
