edge: an engine that asks for a pause gets no requests in it

TakePermit denies until the pause is over, over all connections and whatever is sent: a caller's request, a retry, a report or an order. A request that no other engine can serve is refused at once, with the time that is left.

--- a/packages/edge/engine_statements.cpp
+++ b/packages/edge/engine_statements.cpp
@@ -39,6 +39,11 @@
     host.limits.OnNoneNamed(engine, StartOf(host, engine), *sent);
   }
   LogLimit(host, engine, before, "answer " + std::to_string(head.status));
+  if (!statement.pause) return;
+  host.limits.OnPause(engine, StartOf(host, engine),
+                      host.time.now() + *statement.pause);
+  host.log.Write("engine_pause", {{"engine", engine.value()},
+                                  {"ms", MillisecondText(*statement.pause)}});
 }
 
 void OnLimitNotice(edge_state& host, const std::string& sender,
@@ -50,6 +55,8 @@
 
 serving::send_permit TakePermit(edge_state& host, const endpoint_id& engine,
                                 boost::asio::yield_context yield) {
+  const auto paused_for = host.limits.PausedFor(engine);
+  if (paused_for > clock::duration(0)) return {false, paused_for};
   if (!host.limits.Limit(engine)) return {};
   const auto denied_for = host.limits.DeniedFor(engine);
   if (denied_for > clock::duration(0)) return {false, denied_for};
--- a/packages/edge/request_relay.cpp
+++ b/packages/edge/request_relay.cpp
@@ -255,6 +255,14 @@
 engine_choice relayed_request::ChooseWithPermit() {
   auto excluded = tried_;
   std::optional<clock::duration> limited_for;
+  const auto pass_over = [&](const endpoint_id& engine, clock::duration wait) {
+    excluded.insert(engine);
+    limited_for = std::min(limited_for.value_or(wait), wait);
+  };
+  for (const auto& engine : tried_) {
+    const auto paused_for = host_.limits.PausedFor(engine);
+    if (paused_for > clock::duration(0)) pass_over(engine, paused_for);
+  }
   while (true) {
     auto choice = host_.fleet.Choose(requirements_, MaxSlotWait(), excluded);
     if (choice.status != choice_status::kChosen) {
@@ -266,10 +274,11 @@
     const auto* engine = host_.fleet.Find(choice.engine);
     const bool stays = engine != nullptr && !engine->record.leaving;
     if (permit.granted && stays) return choice;
-    if (!permit.granted) {
-      limited_for = std::min(limited_for.value_or(permit.wait), permit.wait);
+    if (permit.granted) {
+      excluded.insert(choice.engine);
+    } else {
+      pass_over(choice.engine, permit.wait);
     }
-    excluded.insert(choice.engine);
   }
 }
 
--- a/packages/serving/engine_limits.cpp
+++ b/packages/serving/engine_limits.cpp
@@ -50,6 +50,20 @@
   found->free_at = std::max(found->free_at.value_or(sent), sent);
 }
 
+void engine_limits::OnPause(const endpoint_id& engine, std::int64_t started_ms,
+                            clock::time_point until) {
+  auto* found = Find(engine, started_ms);
+  if (found == nullptr) return;
+  found->paused_until = std::max(found->paused_until, until);
+}
+
+clock::duration engine_limits::PausedFor(const endpoint_id& engine) const {
+  const auto found = engines_.find(engine);
+  if (found == engines_.end()) return clock::duration(0);
+  return std::max(clock::duration(0),
+                  found->second.paused_until - clock_.now());
+}
+
 void engine_limits::OnNotice(const limit_notice& notice, clock::duration late) {
   auto* found = Find(notice.engine, notice.started_ms);
   if (found == nullptr) return;
--- a/packages/serving/engine_limits.h
+++ b/packages/serving/engine_limits.h
@@ -31,7 +31,8 @@
   clock::duration wait{0};
 };
 
-/// The limits that engines have named, and the permits under them.
+/// The limits that engines have named, and the permits under them; and for how
+/// long engines that turned a request of this host away want no other.
 ///
 /// An engine in need names in its answers how many requests it takes from all
 /// hosts together. Hosts tell each other when they last heard a limit, and when
@@ -42,8 +43,8 @@
 /// becomes the owner starts with no permits. Owners must divide the rate while
 /// some hosts cannot be heard, since these may have an owner of their own.
 ///
-/// Workload: engines name limits of one to twenty requests a second, far below
-/// the demand for their models.
+/// Workload: engines that are full ask for pauses, or name limits of one to
+/// twenty requests a second, far below the demand for their models.
 class engine_limits {
  public:
   explicit engine_limits(const clock& source) : clock_(source) {}
@@ -54,6 +55,11 @@
   /// It has run a request sent at `sent` and named no limit in its answer.
   void OnNoneNamed(const endpoint_id& engine, std::int64_t started_ms,
                    clock::time_point sent);
+  /// It wants nothing from this host until `until`.
+  void OnPause(const endpoint_id& engine, std::int64_t started_ms,
+               clock::time_point until);
+  /// Time left of that; zero if none.
+  clock::duration PausedFor(const endpoint_id& engine) const;
   /// Another host's notice, sent `late` ago.
   void OnNotice(const limit_notice& notice, clock::duration late);
   /// Notices for other hosts, the limits heard last first.
@@ -90,6 +96,7 @@
     double permits = 0;
     clock::time_point permits_updated;
     clock::time_point denied_until;
+    clock::time_point paused_until;
 
     bool InForce() const {
       return named_at && !(free_at && *free_at > *named_at);
--- a/packages/serving/tests/engine_limits_test.cpp
+++ b/packages/serving/tests/engine_limits_test.cpp
@@ -121,6 +121,18 @@
   EXPECT_EQ(limits_.DeniedFor(kEngine), clock::duration(0));
 }
 
+// Guards against requests to an engine that asked this host for a pause.
+TEST_F(engine_limits_fixture, PauseHoldsForItsProcess) {
+  limits_.OnPause(kEngine, 5, clock_.now() + seconds(3));
+  limits_.OnPause(kEngine, 5, clock_.now() + seconds(2));
+  clock_.Advance(seconds(1));
+  EXPECT_EQ(limits_.PausedFor(kEngine), seconds(2));
+  EXPECT_FALSE(limits_.Limit(kEngine));
+  EXPECT_TRUE(limits_.Notices().empty()) << "a matter of this host alone";
+  limits_.OnNamed(kEngine, 6, 4);
+  EXPECT_EQ(limits_.PausedFor(kEngine), clock::duration(0));
+}
+
 // Replays the demand of a busy model that moves between hosts, while owners are
 // lost, and hosts are cut off in two groups that each have an owner. In no four
 // seconds an engine gets more than one and a half times its limit and 5 more.
