edge: an adapter of an engine with a limit is loaded elsewhere

A request for an adapter that only an engine with a limit has was refused, although another engine holds the model and loads the adapter in milliseconds. Such requests ask for the adapter as if nobody had it, and its orders prefer engines without a limit.

--- a/packages/edge/placement_runner.cpp
+++ b/packages/edge/placement_runner.cpp
@@ -459,8 +459,8 @@
   for (const auto& [id, engine] : host_.fleet.engines()) {
     const auto& resident = OrdersOf(id).inventory.resident();
     const auto model = resident.find(request.model);
-    if (!engine.record.leaving && model != resident.end() &&
-        model->second.count(request.adapter)) {
+    if (!engine.record.leaving && !host_.limits.Limit(id) &&
+        model != resident.end() && model->second.count(request.adapter)) {
       PublishResidency(id, request.model, request.adapter, true);
       return;
     }
@@ -495,6 +495,7 @@
     const serving::adapter_request& request) {
   const serving::engine_spec* spec = nullptr;
   std::vector<serving::adapter_candidate> candidates;
+  bool only_limited = true;
   for (const auto& [id, engine] : host_.fleet.engines()) {
     if (engine.record.leaving) continue;
     const auto& orders = OrdersOf(id);
@@ -503,6 +504,11 @@
     const auto* candidate_spec = EngineSpecOf(id);
     if (candidate_spec == nullptr) continue;
     spec = candidate_spec;
+    // An engine with a limit gets the order only if no other has the model.
+    const bool limited = host_.limits.Limit(id).has_value();
+    if (limited && !only_limited) continue;
+    if (!limited && only_limited) candidates.clear();
+    only_limited = limited;
     candidates.push_back(
         {id, orders.inventory.resident(), candidate_spec->adapter_slots,
          candidate_spec->weights_mb - orders.inventory.UsedMb(*candidate_spec),
--- a/packages/edge/request_relay.cpp
+++ b/packages/edge/request_relay.cpp
@@ -266,8 +266,11 @@
   while (true) {
     auto choice = host_.fleet.Choose(requirements_, MaxSlotWait(), excluded);
     if (choice.status != choice_status::kChosen) {
-      if (limited_for) return {choice_status::kLimited, {}, *limited_for};
-      return choice;
+      // Another engine may load the adapter within milliseconds.
+      if (!limited_for || choice.status == choice_status::kNoAdapter) {
+        return choice;
+      }
+      return {choice_status::kLimited, {}, *limited_for};
     }
     const auto permit = TakePermit(host_, choice.engine, yield_);
     // The engine may have left while its permit owner was asked.
