serving: copies at an engine with a limit do not count as copies

By reading: planning counted a copy at such an engine at a tenth of a copy at least, and as one of a model's two copies, so a model with few requests that only such engines held got no other copy.

A limit is now divided by the engine's models, and its copies are capacity but no copies. copy_planner.CopyAtALimitedEngineIsReplaced failed before: no order, with the weight that the planner gave such an engine.

--- a/packages/edge/placement_runner.cpp
+++ b/packages/edge/placement_runner.cpp
@@ -43,8 +43,6 @@
 // Lower bound of the service time assumed in planning, so that a few short
 // requests at the start do not overstate the capacity of a copy.
 constexpr double kMinServiceSeconds = 0.6;
-// Lower bound of an engine's limit in planning, requests per second.
-constexpr double kMinLimit = 0.01;
 // An order is abandoned after this many times its expected duration; the
 // engine's report then shows its result.
 constexpr double kOrderTimeoutFactor = 4;
@@ -183,8 +181,8 @@
                                                 : engine.Resident(now);
     planned.in_memory = orders.inventory.in_memory();
     planned.on_disk = orders.inventory.on_disk();
-    // An engine with a limit needs its permits for requests.
-    planned.busy = !IsFree(orders) || host_.limits.Limit(id);
+    planned.busy = !IsFree(orders);
+    planned.limit_per_s = host_.limits.Limit(id);
     planned.step_time_ratio = host_.fleet.step_times().Ratio(id);
     if (orders.loading && !planned.resident.count(*orders.loading)) {
       planned.loading = orders.loading;
@@ -200,13 +198,6 @@
         kTargetSlotFraction * (slots / count) /
         std::max(kMinServiceSeconds, service_time / count);
   }
-  for (auto& engine : input.engines) {
-    const auto limit = host_.limits.Limit(engine.id);
-    if (!limit) continue;
-    engine.step_time_ratio =
-        std::max(engine.step_time_ratio,
-                 input.target_rate_per_copy / std::max(*limit, kMinLimit));
-  }
   std::set<std::pair<model_id, adapter_id>> adapters;
   const auto add_rate = [&](const serving::model_rate& entry) {
     if (entry.adapter.value().empty()) {
--- a/packages/serving/copy_planner.cpp
+++ b/packages/serving/copy_planner.cpp
@@ -108,6 +108,13 @@
   void AddCopy(const model_id& id, int change, const planned_engine& engine) {
     const auto found = models_.find(id);
     if (found == models_.end()) return;
+    if (engine.limit_per_s) {
+      const double share = *engine.limit_per_s / engine.resident.size();
+      found->second.capacity +=
+          change * std::min(engine.RelativeCapacity(),
+                            share / input_.target_rate_per_copy);
+      return;
+    }
     found->second.copies += change;
     found->second.capacity += change * engine.RelativeCapacity();
   }
@@ -197,7 +204,10 @@
     for (std::size_t i = 0; i < input_.engines.size(); ++i) {
       const auto& engine = input_.engines[i];
       const auto& id = model.spec->id;
-      if (reserved_[i] || engine.busy || engine.resident.count(id)) continue;
+      if (reserved_[i] || engine.busy || engine.limit_per_s ||
+          engine.resident.count(id)) {
+        continue;
+      }
       double cost =
           LoadSeconds(engine, *model.spec) + PlacementPenalty(model, engine);
       const double free = FreeMb(engine);
--- a/packages/serving/copy_planner.h
+++ b/packages/serving/copy_planner.h
@@ -43,6 +43,9 @@
   std::optional<model_id> loading;
   /// Time per step as a multiple of a typical engine's.
   double step_time_ratio = 1;
+  /// Requests per second that it takes for all its models, if it names a limit.
+  /// Such an engine gets no orders, and its copies do not count as copies.
+  std::optional<double> limit_per_s;
 
   /// Load that this engine serves without queueing, as a fraction of a typical
   /// engine's.
--- a/packages/serving/tests/copy_planner_test.cpp
+++ b/packages/serving/tests/copy_planner_test.cpp
@@ -59,6 +59,26 @@
   EXPECT_TRUE(PlanCopies(input).empty());
 }
 
+// Guards against a model that only an engine with a limit holds, which turns
+// nearly all of its requests away: it takes the place of another's third copy.
+TEST(copy_planner, CopyAtALimitedEngineIsReplaced) {
+  auto input = MakeInput(
+      {MakeEngine("e1", {"a", "b"}), MakeEngine("e2", {"b", "c", "d"}),
+       MakeEngine("e3", {"b", "c", "d"})},
+      {"a", "b", "c", "d"});
+  input.target_rate_per_copy = 10;
+  for (const char* model : {"a", "b", "c", "d"}) {
+    input.demand[model_id(model)].recent = 0.8;
+  }
+  input.engines[0].limit_per_s = 1;
+  const auto orders = PlanCopies(input);
+  ASSERT_FALSE(orders.empty());
+  for (const auto& order : orders) {
+    EXPECT_NE(order.engine, endpoint_id("e1"));
+    EXPECT_EQ(order.evicted_for, model_id("a"));
+  }
+}
+
 // Guards against evicting a last copy for a model that nobody asks for.
 TEST(copy_planner, LastCopyIsNotEvictedForAnUnusedModel) {
   auto input =
