soak: engines name limits, ask for pauses and leave

LIMIT, DRAIN and PAUSE are judged by what engines get, per host and process, as the users' rules say; states begin and end among planned work and faults.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -14,6 +14,12 @@
   EXIT     a host ends by itself with another status than 0
   GRACE    a host still runs at the end of the grace time after SIGTERM
   LOST     a request that only planned work touched gets no whole answer
+  LIMIT    an engine that names a limit gets over one and a half times of it,
+           and 5 requests, in 4 s from the hosts that it has told
+  DRAIN    a request reaches an engine from a host that passed its Server-Leaving
+           on 2 s before the request was sent
+  PAUSE    more than two requests reach an engine from a host that it asked for
+           a pause, half a second after that and before its end
   CRASH    requests of which one shared part crashes engines go on to reach
            engines, or sound requests are refused for them (--crash-parts)
 
@@ -65,6 +71,13 @@
 MAX_LATE_CRASHES = 3
 # Answers of plain engines that have neither a length nor chunks.
 UNFRAMED_SHARE = 0.1
+# LIMIT, DRAIN, PAUSE: bounds of the users' rules.
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
+TOLD_S = 0.5
+DRAIN_S = 2.0
+MAX_IN_PAUSE = 2
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 PROGRAM = os.path.join(ROOT, "build", "bin", "bluebellraild")
 
@@ -237,6 +250,81 @@
     return framed
 
 
+class Statements:
+    """What an engine says of itself in its answers, and who heard it."""
+
+    def __init__(self, soak, engine):
+        self.soak, self.engine = soak, engine
+        self.limit, self.limit_since = None, 0
+        self.leaving = False
+        self.pause_s, self.pause_ends = 0, 0
+        # By launch of a host: when it was told of the limit, of the leaving,
+        # and the begin, end and requests of its last pause.
+        self.told_limit, self.told_leaving, self.pauses = {}, {}, {}
+        self.arrivals = []
+
+    def begin_limit(self, per_s):
+        self.limit, self.limit_since = per_s, now()
+        self.told_limit, self.arrivals = {}, []
+
+    def fields(self):
+        fields = {}
+        if self.limit is not None:
+            fields["Server-Limit"] = f"{self.limit:.2f}"
+        if self.leaving:
+            fields["Server-Leaving"] = "1"
+        return fields
+
+    def tell(self, request):
+        """The fields of an answer that is written now."""
+        if request and self.calm(request, 0.1):
+            if self.limit is not None:
+                self.told_limit.setdefault(request.launch, now())
+            if self.leaving:
+                self.told_leaving.setdefault(request.launch, now())
+        return self.fields()
+
+    def wants_pause(self, request):
+        if now() >= self.pause_ends:
+            return False
+        if self.calm(request, 0.1):
+            self.pauses[request.launch] = [now(), now() + self.pause_s, 0]
+        return True
+
+    def calm(self, request, seconds):
+        """Whether nothing has harmed the request's host for `seconds`."""
+        begin = now() - seconds
+        return request.launch.begun <= begin and not any(
+            self.soak.touches(key, begin, now())
+            for key in (request.host.key, self.engine.key, "pause"))
+
+    def arrived(self, request):
+        """A request has reached the engine."""
+        launch, at = request.launch, now()
+        if not self.calm(request, CONTACT_S):
+            return
+        told = self.told_leaving.get(launch)
+        if told and request.sent > told + DRAIN_S:
+            self.soak.problem("DRAIN", f"{request.attempt} at {self.engine.id} "
+                              f"{request.sent - told:.3f} s after the notice")
+        pause = self.pauses.get(launch)
+        if pause and pause[0] + TOLD_S < at < pause[1]:
+            pause[2] += 1
+            if pause[2] > MAX_IN_PAUSE:
+                self.soak.problem("PAUSE", f"{request.attempt} at "
+                                  f"{self.engine.id}, {pause[2]} requests")
+        told = self.told_limit.get(launch)
+        if self.limit is None or not told or at < told + TOLD_S:
+            return
+        self.arrivals.append(at)
+        while self.arrivals[0] < at - LIMIT_WINDOW_S:
+            self.arrivals.pop(0)
+        allowed = LIMIT_FACTOR * LIMIT_WINDOW_S * self.limit + LIMIT_SLACK
+        if at > self.limit_since + CONTACT_S and len(self.arrivals) > allowed:
+            self.soak.problem("LIMIT", f"{self.engine.id} named "
+                              f"{self.limit:.2f} and got {len(self.arrivals)}")
+
+
 class Engine:
     """A server that runs requests, sometimes badly."""
 
@@ -245,16 +333,27 @@
         self.id = f"i-{number}"
         self.key = ("engine", self.id)
         self.fault = ""
+        self.born = 1
+        self.says = Statements(soak, self)
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
         port = self.server.sockets[0].getsockname()[1]
         self.proxy = Proxy(self.soak.rng, port)
         await self.proxy.start()
+        self.enlist()
+
+    def enlist(self):
         self.soak.store.put("servers", self.id, {
             "service": "shop", "address": f"127.0.0.1:{self.proxy.port}",
             "zone": "z1", "version": "v1", "slots": 24, "state": "ready",
-            "born": 1, "seq": 1})
+            "born": self.born, "seq": 1})
+
+    def begin_again(self):
+        """Starts again under its id, as another process."""
+        self.born += 1
+        self.says = Statements(self.soak, self)
+        self.enlist()
 
     async def serve(self, reader, writer):
         try:
@@ -281,13 +380,23 @@
 
     async def work(self, first, fields, body, reader, writer):
         rng, attempt = self.soak.rng, fields.get("x-attempt-id", "")
+        says, request = self.says, self.soak.senders.get(attempt)
         common = {"X-Attempt-Id": attempt}
+        if request:
+            says.arrived(request)
+        if request and says.wants_pause(request):
+            common.update(says.tell(request))
+            writer.write(message("HTTP/1.1 503 Full",
+                                 {**common, "X-Not-Executed": "1",
+                                  "Retry-After": f"{says.pause_s:.3f}"}))
+            return True
         if fields.get("x-expect-instance") != self.id:
             writer.write(message("HTTP/1.1 421 Other",
                                  {**common, "X-Instance-Id": self.id}))
             return True
         fault = self.fault if rng.random() < 0.4 else ""
         if fault == "shed":
+            common.update(says.tell(request))
             writer.write(message("HTTP/1.1 503 Full",
                                  {**common, "X-Not-Executed": "1"}))
             return True
@@ -298,6 +407,7 @@
             return False
         if fault == "reset":
             return False
+        common.update(says.tell(request))
         if fault == "errors":
             writer.write(message("HTTP/1.1 500 No",
                                  {**common, "X-Server-Seal": attempt}))
@@ -666,6 +776,8 @@
         # Faults: (what they harm, begin, end); open ones end at infinity.
         self.spans = []
         self.requests, self.arrivals = [], {}
+        # Requests by attempt.
+        self.senders = {}
         self.around, self.judged, self.judged_around = 0, 0, 0
         self.excused = {}
         self.tasks = set()
@@ -782,6 +894,8 @@
             if key:
                 fields["Authorization"] = f"Bearer {key}"
             begun = now()
+            self.senders[attempt] = request
+            request.sent = begun
             content = message(f"POST /{kind}/7 HTTP/1.1", fields,
                               f"{attempt} {seconds:.3f}".encode())
             if self.rng.random() < 0.15:
@@ -928,7 +1042,7 @@
         kind = rng.choice(["kill", "term", "term_kill", "freeze",
                            "term_freeze", "store", "store_link", "engine",
                            "engine_link", "reset", "config", "revoke", "hup",
-                           "engine_gone", "planned", "restored"])
+                           "engine_gone", "planned", "restored", "states"])
         host = rng.choice([h for h in self.hosts if h not in self.spared])
         engine = rng.choice([e for e in self.engines if e not in self.spared])
         if kind in ("term", "term_kill", "term_freeze"):
@@ -995,11 +1109,34 @@
             self.withdraw_key()
         elif kind == "planned":
             await self.plan(rng)
+        elif kind == "states":
+            await self.state(rng)
+
+    async def state(self, rng):
+        """Engines name limits, ask for pauses or leave, one after the other;
+        they overlap with others."""
+        for engine in rng.sample(self.engines, rng.randint(1, 3)):
+            kind = rng.choice(["limit", "limit", "pause", "leaving"])
+            seconds, says = rng.uniform(2, 10), engine.says
+            self.note(f"{engine.id}: {kind} for {seconds:.1f} s")
+            if kind == "limit":
+                says.begin_limit(rng.uniform(0.5, 12))
+            elif kind == "pause":
+                says.pause_s = rng.uniform(0.6, 4)
+                says.pause_ends = now() + min(seconds, 3)
+            elif not any(e.says.leaving for e in self.engines):
+                says.leaving = True
+            await asyncio.sleep(seconds)
+            if kind == "limit":
+                says.limit = None
+            elif kind == "leaving" and says.leaving:
+                engine.begin_again()
 
     async def plan(self, rng):
         """One series of planned work; series overlap."""
         kind = rng.choice(["roll", "roll", "again", "configs", "hups", "early",
-                           "early_hups", "restarts", "revoke"])
+                           "early_hups", "restarts", "revoke", "states",
+                           "states", "states"])
         host = rng.choice(self.hosts)
         self.note(f"planned work: {kind}, host-{host.number}")
         if kind == "roll":
@@ -1051,6 +1188,8 @@
                 host.term()
         elif kind == "revoke":
             self.withdraw_key()
+        elif kind == "states":
+            await self.state(rng)
 
     async def watch_pauses(self):
         """Finds the times at which this process itself was late."""
