edge: adapter orders spare engines with a limit

It is a candidate now only if no other engine has the model, whether busy or not, and while it has a permit to give.

--- a/packages/edge/placement_runner.cpp
+++ b/packages/edge/placement_runner.cpp
@@ -486,20 +486,27 @@
     const serving::adapter_request& request) {
   const serving::engine_spec* spec = nullptr;
   std::vector<serving::adapter_candidate> candidates;
-  bool only_limited = true;
-  for (const auto& [id, engine] : host_.fleet.engines()) {
-    if (engine.record.leaving) continue;
-    const auto& orders = OrdersOf(id);
-    if (!IsFree(orders) || !orders.inventory.resident().count(request.model))
+  // An engine with a limit gets the order only if no other has the model.
+  const auto has_model = [&](const auto& entry) {
+    return !entry.second.record.leaving &&
+           OrdersOf(entry.first).inventory.resident().count(request.model) > 0;
+  };
+  const auto& engines = host_.fleet.engines();
+  const bool spares_limited =
+      std::any_of(engines.begin(), engines.end(), [&](const auto& entry) {
+        return has_model(entry) && !host_.limits.Limit(entry.first);
+      });
+  for (const auto& entry : engines) {
+    const auto& id = entry.first;
+    if (!has_model(entry) || (spares_limited && host_.limits.Limit(id)) ||
+        host_.limits.DeniedFor(id) > clock::duration(0)) {
       continue;
+    }
+    const auto& orders = OrdersOf(id);
+    if (!IsFree(orders)) continue;
     const auto* candidate_spec = EngineSpecOf(id);
     if (candidate_spec == nullptr) continue;
     spec = candidate_spec;
-    // An engine with a limit gets the order only if no other has the model.
-    const bool limited = host_.limits.Limit(id).has_value();
-    if (limited && !only_limited) continue;
-    if (!limited && only_limited) candidates.clear();
-    only_limited = limited;
     candidates.push_back(
         {id, orders.inventory.resident(), candidate_spec->adapter_slots,
          candidate_spec->weights_mb - orders.inventory.UsedMb(*candidate_spec),
