serving: hosts that get no permit return in turn

A permit owner told every host the same time until the next permit, so all that had asked came back for it at once, and their callers with them. Each denial now tells the time after the one before, by the rate, at most 5 s; it is also what refused callers are told. A request is refused with the shorter wait if a busy engine is free sooner. Test: engine_limits_fixture. DeniedHostsReturnInTurn.

--- a/packages/edge/request_relay.cpp
+++ b/packages/edge/request_relay.cpp
@@ -270,6 +270,9 @@
       if (!limited_for || choice.status == choice_status::kNoAdapter) {
         return choice;
       }
+      if (choice.status == choice_status::kBusy && choice.wait < *limited_for) {
+        return choice;
+      }
       return {choice_status::kLimited, {}, *limited_for};
     }
     const auto permit = TakePermit(host_, choice.engine, yield_);
--- a/packages/serving/engine_limits.cpp
+++ b/packages/serving/engine_limits.cpp
@@ -123,7 +123,11 @@
       std::min(1 + kBurstSeconds * per_s, state.permits + per_s * elapsed_s);
   state.permits_updated = now;
   if (state.permits < 1) {
-    return {false, ToDuration((1 - state.permits) / per_s)};
+    const auto at = std::max(
+        now + ToDuration((1 - state.permits) / per_s),
+        std::min<clock::time_point>(state.next_return, now + kMaxWait));
+    state.next_return = at + ToDuration(1 / per_s);
+    return {false, at - now};
   }
   state.permits -= 1;
   return {};
--- a/packages/serving/engine_limits.h
+++ b/packages/serving/engine_limits.h
@@ -70,7 +70,8 @@
   /// Limit in force; none if the engine takes any number of requests.
   std::optional<double> Limit(const endpoint_id& engine) const;
   /// As the engine's permit owner: takes a permit at `share`, 0 to 1, of the
-  /// limit.
+  /// limit. Denials tell one time after the other, so that those who ask return
+  /// in turn.
   send_permit Take(const endpoint_id& engine, double share);
   /// The permit owner has denied a permit.
   void OnDenied(const endpoint_id& engine, const send_permit& denied);
@@ -84,6 +85,8 @@
   // Permits that accumulate while nobody asks: one, and this many seconds of
   // the rate.
   static constexpr double kBurstSeconds = 0.5;
+  // Longest wait that a denial tells: demand may have gone by then.
+  static constexpr std::chrono::seconds kMaxWait{5};
   // The end of a limit is told to the others for this long.
   static constexpr std::chrono::seconds kEndNoticePeriod{10};
   static constexpr std::size_t kMaxNotices = 64;
@@ -95,6 +98,8 @@
     std::optional<clock::time_point> free_at;
     double permits = 0;
     clock::time_point permits_updated;
+    /// Time that the next denial tells at the earliest.
+    clock::time_point next_return;
     clock::time_point denied_until;
     clock::time_point paused_until;
 
--- a/packages/serving/tests/engine_limits_test.cpp
+++ b/packages/serving/tests/engine_limits_test.cpp
@@ -44,6 +44,23 @@
   EXPECT_TRUE(limits_.Take(kEngine, 1).granted);
 }
 
+// Guards against hosts that all return for the same permit.
+TEST_F(engine_limits_fixture, DeniedHostsReturnInTurn) {
+  limits_.OnNamed(kEngine, 1, 2);
+  std::vector<clock::duration> waits;
+  for (int i = 0; i < 4; ++i) waits.push_back(limits_.Take(kEngine, 1).wait);
+  EXPECT_EQ(waits, (std::vector<clock::duration>{
+                       milliseconds(500), milliseconds(1000),
+                       milliseconds(1500), milliseconds(2000)}));
+  for (int i = 0; i < 50; ++i) {
+    EXPECT_LE(limits_.Take(kEngine, 1).wait, seconds(5));
+  }
+  for (int i = 0; i < 4; ++i) {
+    clock_.Advance(milliseconds(500));
+    EXPECT_TRUE(limits_.Take(kEngine, 1).granted);
+  }
+}
+
 // Guards against a limit of zero that nobody ever hears to have ended.
 TEST_F(engine_limits_fixture, EngineThatTakesNothingIsTriedNowAndThen) {
   limits_.OnNamed(kEngine, 1, 0);
