--- a/packages/edge/digest_exchange.h
+++ b/packages/edge/digest_exchange.h
@@ -40,8 +40,8 @@
   /// Sends a residency change to the hosts that get each digest; called by the
   /// placement lease holder.
   void SendNotice(const serving::residency_notice& notice);
-  /// Asks the engine's permit owner, which may be this host, for one request.
-  /// Denied if the owner does not answer.
+  /// Requests a permit from the engine's permit owner, which may be this host.
+  /// Denied if the owner does not answer in time.
   serving::send_permit AskPermit(const endpoint_id& engine,
                                  boost::asio::yield_context yield);
   /// Sends a digest to every known host immediately.
--- a/packages/edge/edge_state.h
+++ b/packages/edge/edge_state.h
@@ -104,8 +104,8 @@
   /// Asks the placement lease holder for an adapter that a request waits for.
   std::function<void(const serving::adapter_request&)> request_adapter;
 
-  /// Asks the permit owner of an engine for one request to it; not set if this
-  /// host is alone.
+  /// Requests a permit from an engine's permit owner; not set if this host is
+  /// the only one.
   std::function<serving::send_permit(const endpoint_id&,
                                      boost::asio::yield_context)>
       ask_permit;
--- a/packages/edge/engine_records.h
+++ b/packages/edge/engine_records.h
@@ -13,8 +13,8 @@
 
 namespace bluebell::edge {
 
-/// The endpoint records that this host goes by. Passes them on to the fleet,
-/// and logs from which source each change of an engine's state is known.
+/// The endpoint records in effect at this host. Passes them on to the fleet,
+/// and logs the source of each change of an engine's state.
 class engine_records {
  public:
   /// All arguments must outlive the object.
--- a/packages/edge/request_relay.cpp
+++ b/packages/edge/request_relay.cpp
@@ -276,7 +276,7 @@
       return {choice_status::kLimited, {}, *limited_for};
     }
     const auto permit = TakePermit(host_, choice.engine, yield_);
-    // The engine may have left while its permit owner was asked.
+    // The engine may have left during the request for the permit.
     const auto* engine = host_.fleet.Find(choice.engine);
     const bool stays = engine != nullptr && !engine->record.leaving;
     if (permit.granted && stays) return choice;
--- a/packages/edge/store_sync.cpp
+++ b/packages/edge/store_sync.cpp
@@ -275,7 +275,7 @@
                    {"keys", std::to_string(host_.config->keys.size())}});
 }
 
-// Records that were kept because of an outage are dropped in time.
+// Lists again when records that were kept because of an outage expire.
 milliseconds store_sync::TimeToNextListing() const {
   if (!host_.store_contact.MayLackRecords()) return kEnginesInterval;
   const auto left = host_.store_contact.LacksRecordsUntil() - host_.time.now();
--- a/packages/edge/store_sync.h
+++ b/packages/edge/store_sync.h
@@ -60,8 +60,8 @@
     std::uint64_t position = 0;
   };
 
-  // Whether records from `source` as of `version` change those that this host
-  // goes by. Earlier ones do not.
+  // Whether records from `source` as of `version` replace those in effect; not
+  // if they are older or unchanged.
   bool Supersede(const record_source& source,
                  const serving::store_version& version);
   void LogKeptRecords();
--- a/packages/serving/engine_statement.h
+++ b/packages/serving/engine_statement.h
@@ -10,14 +10,14 @@
 /// What an endpoint states of itself in any of its answers. It is more recent
 /// than its stored record.
 struct engine_statement {
-  /// The endpoint that answered; empty if it does not say.
+  /// The endpoint that answered; empty if not stated.
   endpoint_id engine;
   /// Will end soon and must get no more requests.
   bool leaving = false;
-  /// Requests per second that it takes from all hosts together; none if it
-  /// names no limit.
+  /// Requests per second that it accepts from all hosts together; none without
+  /// a limit.
   std::optional<double> limit_per_s;
-  /// It wants nothing from this host for so long.
+  /// Requested time without requests from this host.
   std::optional<std::chrono::milliseconds> pause;
 };
 
--- a/packages/serving/engine_view.h
+++ b/packages/serving/engine_view.h
@@ -10,12 +10,12 @@
 
 namespace bluebell::serving {
 
-/// The endpoint records that a host goes by, merged from its own reads of the
-/// store, the readers that it follows, and what endpoints say of themselves.
+/// The endpoint records in effect at a host, merged from its own reads of the
+/// store, the readers that it follows, and the statements of endpoints.
 ///
 /// Sources are ordered by the version of the store that they are as of, so that
-/// a change of the source never brings back an older state. A process that was
-/// leaving stays so, whatever a record says.
+/// a change of the source never restores an older state. A process that was
+/// leaving stays so, even if a record contradicts.
 ///
 /// Workload: hosts lose the store one by one and return while endpoints leave.
 class engine_view {
--- a/packages/serving/host_digest.h
+++ b/packages/serving/host_digest.h
@@ -71,7 +71,7 @@
   std::vector<residency_notice> notices;
   /// Crashes of endpoints seen by this host, by fingerprint of the request.
   std::map<std::string, int> crashes;
-  /// Limits that engines have named, as far as this host knows.
+  /// Rate limits of engines that are known to this host.
   std::vector<limit_notice> limits;
   /// None if the host does not read the store.
   std::optional<store_contact_report> store;
--- a/packages/serving/host_directory.h
+++ b/packages/serving/host_directory.h
@@ -118,7 +118,7 @@
   // digests between all pairs.
   static constexpr std::chrono::milliseconds kStartupPeriod{3000};
   static constexpr std::chrono::seconds kCountTimeout{20};
-  // The first hosts of the ranking, which every host hears.
+  // The first hosts of the ranking, which send their digests to every host.
   static constexpr std::size_t kPermitOwners = 3;
   // A host that was silent for this long gets digests only if the store lists
   // it.
--- a/packages/serving/limit_codec.h
+++ b/packages/serving/limit_codec.h
@@ -7,7 +7,7 @@
 namespace bluebell::serving {
 
 /// `limit_notice` in datagrams between hosts. Ages are rounded up to whole
-/// milliseconds, since a limit must not seem to be heard later than it was.
+/// milliseconds, because a limit must not appear newer than it is.
 nlohmann::json EncodeLimit(const limit_notice& notice);
 /// Throws `nlohmann::json::exception` if `row` is no notice.
 limit_notice DecodeLimit(const nlohmann::json& row);
--- a/packages/serving/permit_messages.h
+++ b/packages/serving/permit_messages.h
@@ -9,11 +9,11 @@
 
 namespace bluebell::serving {
 
-/// Asks the permit owner of an engine for one request.
+/// Requests a permit from an engine's permit owner.
 struct permit_request {
   /// Returned in the response.
   std::uint64_t number = 0;
-  /// The limit, which the owner may not know yet.
+  /// The limit, in case it is new to the owner.
   limit_notice limit;
 };
 
--- a/packages/serving/store_contact.h
+++ b/packages/serving/store_contact.h
@@ -15,7 +15,8 @@
   clock::duration up_for{0};
 };
 
-/// Tells an outage of the store from the loss of this host's own path to it.
+/// Distinguishes an outage of the store from the loss of this host's own path
+/// to it.
 ///
 /// Records of endpoints may expire while the store is away and return within
 /// two seconds after it. A record that is missing then is kept for that time; a
--- a/packages/serving/tests/engine_limits_test.cpp
+++ b/packages/serving/tests/engine_limits_test.cpp
@@ -61,7 +61,7 @@
   }
 }
 
-// Guards against a limit of zero that nobody ever hears to have ended.
+// Guards against a limit of zero whose end is never noticed.
 TEST_F(engine_limits_fixture, EngineThatTakesNothingIsTriedNowAndThen) {
   limits_.OnNamed(kEngine, 1, 0);
   clock_.Advance(seconds(5));
@@ -94,7 +94,7 @@
   EXPECT_FALSE(limits_.Limit(kEngine)) << "an answer of the earlier process";
 }
 
-// Guards against a host that has just started, or hears of a limit only from
+// Guards against a host that has just started, or knows a limit only from
 // others, and does not keep it; and against one that keeps it after its end.
 TEST_F(engine_limits_fixture, OtherHostsLearnTheLimitAndItsEnd) {
   engine_limits other(clock_);
