edge: one log line for the first records of a process; notices only for known engines

Read again: engine_state wrote a line for each engine at a start, which on a site of thousands of engines displaces other lines; and digests carried the limits of engines that have gone for as long as their host ran.

--- a/packages/edge/digest_exchange.cpp
+++ b/packages/edge/digest_exchange.cpp
@@ -392,7 +392,10 @@
   if (notices) digest.notices = notices();
   digest.crashes = host_.crashes.OwnCrashes();
   digest.parts = host_.parts.Evidence();
-  digest.limits = host_.limits.Notices();
+  for (auto& notice : host_.limits.Notices()) {
+    if (host_.fleet.Find(notice.engine) == nullptr) continue;
+    digest.limits.push_back(std::move(notice));
+  }
   digest.store = host_.store_contact.Report();
   return digest;
 }
--- a/packages/edge/engine_records.cpp
+++ b/packages/edge/engine_records.cpp
@@ -32,9 +32,17 @@
                 {"source", source},
                 {"age_ms", MillisecondText(clock_.now() - known_at)}});
   };
+  // A line for each of thousands of engines would displace others.
+  const bool first = leaving_.empty();
+  if (first) {
+    log_.Write("engines_listed", {{"engines", std::to_string(leaving.size())},
+                                  {"source", source}});
+  }
   for (const auto& [engine, leaves] : leaving) {
     const auto before = leaving_.find(engine);
-    if (before == leaving_.end() || before->second != leaves) {
+    const bool is_new = before == leaving_.end();
+    if ((is_new && (!first || leaves)) ||
+        (!is_new && before->second != leaves)) {
       log(engine, leaves ? "leaving" : "ready");
     }
   }
