--- a/packages/serving/adapter_planner.cpp
+++ b/packages/serving/adapter_planner.cpp
@@ -29,9 +29,13 @@
         const double weighted_demand =
             std::max(kMinRate, rate(id, other)) * engine.step_time_ratio;
         if (eviction && weighted_demand >= lowest_demand) continue;
-        eviction = placement_order{
-            order_kind::kUnload,  engine.id,      id, other, false,
-            rate(model, adapter), weighted_demand};
+        auto& order = eviction.emplace();
+        order.kind = order_kind::kUnload;
+        order.engine = engine.id;
+        order.model = id;
+        order.adapter = other;
+        order.demand_per_copy = rate(model, adapter);
+        order.displaced_per_copy = weighted_demand;
         lowest_demand = weighted_demand;
       }
     }
