edge: log the software versions of engines and what callers take up

No line of a host told which version an engine runs, at which one a stream began, or which attempt a caller takes up, so the hypotheses could not be told apart. Records now carry the version (also to followers), and engines_listed, engine_state, send_end and request_end name it.

--- a/packages/base/ids.h
+++ b/packages/base/ids.h
@@ -17,6 +17,8 @@
 using endpoint_id = strong_type<struct endpoint_tag, std::string>;
 /// A model, by the id of its row.
 using model_id = strong_type<struct model_tag, std::string>;
+/// Version of the software that an endpoint runs. Versions have no order.
+using software_version = strong_type<struct software_version_tag, std::string>;
 /// An adapter, by the id of its row.
 using adapter_id = strong_type<struct adapter_tag, std::string>;
 /// A part of a prompt that several requests may share.
--- a/packages/edge/engine_records.cpp
+++ b/packages/edge/engine_records.cpp
@@ -24,18 +24,31 @@
                              clock::time_point known_at) {
   auto records = view_.Records();
   std::map<endpoint_id, bool> leaving;
-  for (const auto& record : records) leaving[record.id] = record.leaving;
+  std::map<endpoint_id, software_version> software;
+  std::map<std::string, int> versions;
+  for (const auto& record : records) {
+    leaving[record.id] = record.leaving;
+    software[record.id] = record.software;
+    ++versions[record.service.value() + " " + record.software.value()];
+  }
   const auto log = [&](const endpoint_id& engine, const char* state) {
     log_.Write("engine_state",
                {{"engine", engine.value()},
                 {"state", state},
+                {"software", software[engine].value()},
                 {"source", source},
                 {"age_ms", MillisecondText(clock_.now() - known_at)}});
   };
   // A line for each of thousands of engines would displace others.
   const bool first = leaving_.empty();
   if (first) {
+    std::string text;
+    for (const auto& [version, count] : versions) {
+      if (!text.empty()) text += ", ";
+      text += version + ": " + std::to_string(count);
+    }
     log_.Write("engines_listed", {{"engines", std::to_string(leaving.size())},
+                                  {"software", text},
                                   {"source", source}});
   }
   for (const auto& [engine, leaves] : leaving) {
--- a/packages/edge/relayed_request.h
+++ b/packages/edge/relayed_request.h
@@ -181,6 +181,8 @@
   bool may_have_run_ = false;
   std::optional<http_response> failed_answer_;
   std::string last_event_;
+  /// Software of the engine that brought the first event.
+  software_version began_at_;
 
   clock::time_point first_sent_at_;
   std::optional<clock::time_point> first_forwarded_at_;
@@ -190,6 +192,7 @@
 
   // State of the current or last send.
   endpoint_id last_engine_;
+  software_version engine_software_;
   std::string engine_address_;
   gateway::endpoint_connection* active_connection_ = nullptr;
   clock::time_point sent_at_;
--- a/packages/edge/request_dialect.h
+++ b/packages/edge/request_dialect.h
@@ -34,6 +34,11 @@
   adapter_id adapter;
   std::optional<std::int64_t> prompt_tokens;
   std::optional<std::int64_t> output_tokens;
+  /// A stream is taken up after this event; empty for a new request.
+  std::string last_event;
+  /// Attempt that brought the first event of the stream that is taken up; empty
+  /// if the caller names none.
+  request_id resumes;
   /// Parts of the prompt in order, without the last one, which belongs to the
   /// request or its session alone.
   std::vector<prompt_part_id> shared_parts;
--- a/packages/edge/request_relay.cpp
+++ b/packages/edge/request_relay.cpp
@@ -412,6 +412,10 @@
        {"adapter", caller_.adapter.value()},
        {"sends", std::to_string(sends_)},
        {"engine", last_engine_.value()},
+       {"software", engine_software_.value()},
+       {"began_at", began_at_.value()},
+       {"resumes", caller_.resumes.value()},
+       {"last_event", caller_.last_event},
        {"wait_ms",
         sends_ == 0 ? "" : MillisecondText(first_sent_at_ - received_at_)},
        {"first_ms", first_forwarded_at_
--- a/packages/edge/request_send.cpp
+++ b/packages/edge/request_send.cpp
@@ -144,6 +144,7 @@
 send_result relayed_request::SendTo(const endpoint_id& id) {
   const auto* engine = host_.fleet.Find(id);
   engine_address_ = engine->record.address;
+  engine_software_ = engine->record.software;
   const double typical_answer_s = engine->first_answer_s;
   ++sends_;
   reached_engine_ = false;
@@ -374,6 +375,7 @@
     }
     if (!sink_.started()) {
       RecordFirstAnswer();
+      began_at_ = engine_software_;
       sink_.StartStream({head.status, host_.dialect.CallerFields(head), {}},
                         yield_);
     }
@@ -470,6 +472,7 @@
   host_.log.Write("send_end",
                   {{"request", caller_.id.value()},
                    {"engine", engine.value()},
+                   {"software", engine_software_.value()},
                    {"outcome", ToString(result)},
                    {"reused", reused_ ? "yes" : "no"},
                    {"framing", FramingText()},
--- a/packages/serving/engine_record.h
+++ b/packages/serving/engine_record.h
@@ -26,6 +26,8 @@
   /// `IPv4:port`.
   std::string address;
   zone_id zone;
+  /// Empty if the record states none that can be read.
+  software_version software;
   /// Requests processed concurrently.
   int slots = 1;
   /// Will stop accepting requests soon.
@@ -40,10 +42,12 @@
   std::set<model_id> on_disk;
 
   friend bool operator==(const engine_record& a, const engine_record& b) {
-    return std::tie(a.id, a.service, a.address, a.zone, a.slots, a.leaving,
-                    a.started_ms, a.resident, a.in_memory, a.on_disk) ==
-           std::tie(b.id, b.service, b.address, b.zone, b.slots, b.leaving,
-                    b.started_ms, b.resident, b.in_memory, b.on_disk);
+    return std::tie(a.id, a.service, a.address, a.zone, a.software, a.slots,
+                    a.leaving, a.started_ms, a.resident, a.in_memory,
+                    a.on_disk) == std::tie(b.id, b.service, b.address, b.zone,
+                                           b.software, b.slots, b.leaving,
+                                           b.started_ms, b.resident,
+                                           b.in_memory, b.on_disk);
   }
 };
 
--- a/packages/serving/sync_messages.cpp
+++ b/packages/serving/sync_messages.cpp
@@ -21,7 +21,8 @@
   return json::array({record.id.value(), record.service.value(), record.address,
                       record.zone.value(), record.slots, record.leaving,
                       record.started_ms, std::move(resident),
-                      std::move(in_memory), std::move(on_disk)});
+                      std::move(in_memory), std::move(on_disk),
+                      record.software.value()});
 }
 
 engine_record DecodeRecord(const json& row) {
@@ -45,6 +46,9 @@
   for (const auto& model : row.at(9)) {
     record.on_disk.insert(model_id(model.get<std::string>()));
   }
+  if (row.size() > 10) {
+    record.software = software_version(row[10].get<std::string>());
+  }
   return record;
 }
 
--- a/packages/serving/tests/record_log_test.cpp
+++ b/packages/serving/tests/record_log_test.cpp
@@ -17,6 +17,7 @@
   record.service = service_id("llm");
   record.address = "10.0.0.1:" + std::to_string(8000 + number);
   record.slots = slots;
+  record.software = software_version("v" + std::to_string(slots));
   return record;
 }
 
