edge: streams go on only at the software version that began them

Within an answer a host resumed at any engine of the service; a take-up by a caller went to any engine at any host.

Cause: at which version a stream began was known to nobody; what a host could have remembered is lost when all are killed. Class: a decision that must agree over hosts and over time rests on what one process remembers.

The store now holds a table per service with a base version. The start of a stream at another version is stored before the caller gets its first event, so a stream whose start is not stored began at the base version, and every host can tell without a guess (stream_versions). Engines whose record states no version serve no resumable stream. With one version nothing is stored after the fleet's first start; a take-up of a stream that began elsewhere costs one listing.

--- a/packages/edge/deployment_store.h
+++ b/packages/edge/deployment_store.h
@@ -14,12 +14,13 @@
 #include "serving/part_quarantine.h"
 #include "serving/placement_lease.h"
 #include "serving/serving_config.h"
+#include "serving/stream_versions.h"
 
 namespace bluebell::edge {
 
 /// Persistent store shared by the hosts: the operator's configuration, the
-/// endpoint records, the placement lease, the list of hosts and the prompt
-/// parts that are quarantined.
+/// endpoint records, the placement lease, the list of hosts, the prompt parts
+/// that are quarantined and the software versions that began streams.
 ///
 /// Each call takes at most the store timeout. Errors: `kUnavailable` (nothing
 /// was done), `kOutcomeUnknown` (a write may take effect, now or later),
@@ -68,6 +69,22 @@
   /// Removes the listed revision of a part; success if it is gone or replaced.
   virtual result<void> RemoveQuarantined(const serving::stored_part& part,
                                          boost::asio::yield_context yield) = 0;
+
+  /// Returns all version tables and stored starts by linearizable reads.
+  virtual result<serving::version_listing> ListStreamVersions(
+      boost::asio::yield_context yield) = 0;
+  /// Compare-and-swap: replaces the table if its revision is still
+  /// `table.revision`, or creates it (0); returns the new revision.
+  virtual result<std::uint64_t> WriteVersionTable(
+      const serving::version_table& table,
+      boost::asio::yield_context yield) = 0;
+  /// Compare-and-swap, as for tables. After any error the batch may still be
+  /// written later.
+  virtual result<std::uint64_t> WriteStarts(
+      const serving::start_batch& batch, boost::asio::yield_context yield) = 0;
+  /// Removes a batch by its name; success if it is gone.
+  virtual result<void> RemoveStarts(const std::string& name,
+                                    boost::asio::yield_context yield) = 0;
 };
 
 }  // namespace bluebell::edge
--- a/packages/edge/edge_host.cpp
+++ b/packages/edge/edge_host.cpp
@@ -12,6 +12,7 @@
 #include "edge/quarantine_sync.h"
 #include "edge/request_relay.h"
 #include "edge/store_sync.h"
+#include "edge/version_sync.h"
 #include "gateway/http_server.h"
 #include "gateway/network.h"
 
@@ -118,11 +119,13 @@
       : state(context, source, settings, dialect, store, NewIncarnation(),
               std::random_device()()),
         sync(state),
-        quarantine(state) {}
+        quarantine(state),
+        versions(state) {}
 
   edge_state state;
   store_sync sync;
   quarantine_sync quarantine;
+  version_sync versions;
   std::unique_ptr<digest_exchange> exchange;
   std::unique_ptr<placement_runner> placement;
   std::unique_ptr<http_server> callers;
@@ -231,6 +234,10 @@
       context, [host](auto yield) { host->placement->RunPlanning(yield); });
   gateway::SpawnTask(context,
                      [host](auto yield) { host->quarantine.Run(yield); });
+  gateway::SpawnTask(context,
+                     [host](auto yield) { host->versions.RunTables(yield); });
+  gateway::SpawnTask(context,
+                     [host](auto yield) { host->versions.RunStarts(yield); });
   gateway::SpawnTask(context, [host](auto yield) {
     LogChanges(host->state, host->quarantine, yield);
   });
--- a/packages/edge/edge_state.h
+++ b/packages/edge/edge_state.h
@@ -30,6 +30,7 @@
 #include "serving/shared_quota.h"
 #include "serving/stop_admission.h"
 #include "serving/store_contact.h"
+#include "serving/stream_versions.h"
 
 namespace bluebell::edge {
 
@@ -51,11 +52,13 @@
         started(source.now()),
         random(seed),
         changed(context),
+        versions_changed(context),
         connections(context, source),
         log(source, settings.id),
         store_contact(source),
         fleet(source, settings.zone, seed),
-        records(source, log, metrics, fleet, changed),
+        versions(source, incarnation),
+        records(source, log, metrics, fleet, versions, changed),
         limits(source),
         quota(source, seed),
         retries(source, settings.retries),
@@ -111,11 +114,14 @@
       ask_permit;
 
   change_signal changed;
+  /// Something in `versions` has changed or is asked for.
+  change_signal versions_changed;
   engine_connections connections;
   decision_log log;
   edge_metrics metrics;
   serving::store_contact store_contact;
   serving::engine_fleet fleet;
+  serving::stream_versions versions;
   engine_records records;
   serving::engine_limits limits;
   serving::shared_quota quota;
--- a/packages/edge/engine_records.cpp
+++ b/packages/edge/engine_records.cpp
@@ -10,9 +10,19 @@
     const std::map<endpoint_id, serving::store_version>& kept,
     const std::string& source, clock::time_point read_at) {
   view_.Apply(version, std::move(records), kept);
+  PublishVersions(read_at);
   Publish(source, read_at);
 }
 
+void engine_records::PublishVersions(clock::time_point read_at) {
+  serving::stream_versions::software_by_service listed;
+  for (const auto& record : view_.Records()) {
+    if (record.software.value().empty()) continue;
+    listed[record.service].insert(record.software);
+  }
+  versions_.OnEngines(listed, read_at);
+}
+
 void engine_records::OnStatement(const endpoint_id& engine,
                                  const serving::engine_statement& statement) {
   if (statement.leaving && view_.OnLeaving(engine)) {
--- a/packages/edge/engine_records.h
+++ b/packages/edge/engine_records.h
@@ -10,6 +10,7 @@
 #include "serving/engine_fleet.h"
 #include "serving/engine_statement.h"
 #include "serving/engine_view.h"
+#include "serving/stream_versions.h"
 
 namespace bluebell::edge {
 
@@ -19,11 +20,13 @@
  public:
   /// All arguments must outlive the object.
   engine_records(const clock& source, decision_log& log, edge_metrics& metrics,
-                 serving::engine_fleet& fleet, change_signal& changed)
+                 serving::engine_fleet& fleet,
+                 serving::stream_versions& versions, change_signal& changed)
       : clock_(source),
         log_(log),
         metrics_(metrics),
         fleet_(fleet),
+        versions_(versions),
         changed_(changed) {}
 
   const serving::store_version& version() const { return view_.version(); }
@@ -33,21 +36,26 @@
              std::vector<serving::engine_record> records,
              const std::map<endpoint_id, serving::store_version>& kept,
              const std::string& source, clock::time_point read_at);
-  /// `engine_view::Confirm`.
-  void Confirm(const serving::store_version& version) {
+  /// `engine_view::Confirm`; the records were read at `read_at`.
+  void Confirm(const serving::store_version& version,
+               clock::time_point read_at) {
     view_.Confirm(version);
+    versions_.OnConfirmed(read_at);
   }
   /// An answer of `engine` held `statement`.
   void OnStatement(const endpoint_id& engine,
                    const serving::engine_statement& statement);
 
  private:
+  // Tells which versions of each service are listed.
+  void PublishVersions(clock::time_point read_at);
   void Publish(const std::string& source, clock::time_point known_at);
 
   const clock& clock_;
   decision_log& log_;
   edge_metrics& metrics_;
   serving::engine_fleet& fleet_;
+  serving::stream_versions& versions_;
   change_signal& changed_;
   serving::engine_view view_;
   /// Whether each engine is leaving, as published last.
--- a/packages/edge/relayed_request.h
+++ b/packages/edge/relayed_request.h
@@ -60,6 +60,12 @@
   // Checks route, account and limits. Returns false if the request was refused.
   bool Admit();
   void AwaitConfig();
+  // Id under which the start of the stream of `attempt` is known. Callers
+  // choose ids; long ones are represented by their hash.
+  static request_id StreamKey(const request_id& attempt);
+  // Finds the software version that began the stream that the caller takes up.
+  // Returns false if the request was refused.
+  bool FindStreamVersion();
   // Hash that identifies repetitions of the same request.
   std::string Fingerprint() const;
   // Records that the engine has survived writing the answer.
@@ -111,6 +117,14 @@
                         const engine_answer& answer_info);
   // Reads the head of an answer from the address of `id`.
   engine_answer ReadAnswer(const endpoint_id& id, const http_response& head);
+  // Whether this request begins a stream that may be taken up later.
+  bool BeginsStream() const {
+    return route_->resumable && caller_.last_event.empty() && !sink_.started();
+  }
+  // Records at which version the stream begins, before it is sent there.
+  void RecordStart();
+  // Waits until the start is stored. Returns false if it could not be stored.
+  bool AwaitStartStored();
   // Forwards complete events as they arrive. A stream that ends early is
   // aborted, or resumed after its last event by another send.
   send_result RelayStream(const endpoint_id& id,
@@ -183,6 +197,8 @@
   std::string last_event_;
   /// Software of the engine that brought the first event.
   software_version began_at_;
+  /// Ticket of the stored start (`stream_versions`); none if it needs none.
+  std::optional<std::uint64_t> start_ticket_;
 
   clock::time_point first_sent_at_;
   std::optional<clock::time_point> first_forwarded_at_;
--- a/packages/edge/request_relay.cpp
+++ b/packages/edge/request_relay.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 
+#include "base/digest.h"
 #include "edge/engine_statements.h"
 #include "edge/relayed_request.h"
 
@@ -31,6 +32,9 @@
 constexpr double kConnectionFraction = 0.8;
 // Covers one read of the configuration and one retry.
 constexpr milliseconds kMaxConfigWait{300};
+// Covers one listing of the store that is answered late, and one retry.
+constexpr milliseconds kMaxVersionWait{1000};
+constexpr std::size_t kMaxStreamKeyBytes = 64;
 // Crashes over all hosts from which on a request is refused. A request that was
 // merely in flight beside the cause is unlikely to be there three times.
 constexpr int kCrashLimit = 3;
@@ -100,6 +104,10 @@
   }
   is_model_ = service != nullptr && service->engine.has_value();
   if (!is_model_) requirements_.model = model_id();
+  if (route_->resumable && !caller_.last_event.empty() &&
+      !FindStreamVersion()) {
+    return false;
+  }
   if (account_ != nullptr && !host_.quota.Take(account_->id, TokenCost())) {
     const double seconds = host_.quota.SecondsUntil(account_->id, TokenCost());
     last_detail_ = fmt::format("tokens {:.0f} {}", TokenCost(),
@@ -129,6 +137,33 @@
   }
 }
 
+request_id relayed_request::StreamKey(const request_id& attempt) {
+  if (attempt.value().size() <= kMaxStreamKeyBytes) return attempt;
+  return request_id(Sha256Hex(attempt.value()));
+}
+
+bool relayed_request::FindStreamVersion() {
+  const auto attempt = StreamKey(caller_.resumes);
+  auto version = host_.versions.BegunHere(attempt);
+  if (!version) {
+    const auto ticket = host_.versions.RequestListing();
+    host_.versions_changed.Notify();
+    const auto wait_until =
+        received_at_ +
+        std::min<clock::duration>(kMaxVersionWait, deadline_ - received_at_);
+    while (!host_.versions.HasListing(ticket) && !sink_.caller_disconnected() &&
+           host_.time.now() < wait_until) {
+      host_.versions_changed.Wait(wait_until - host_.time.now(), yield_);
+    }
+    if (host_.versions.HasListing(ticket)) {
+      version = host_.versions.VersionOf(requirements_.service, attempt);
+    }
+  }
+  if (!version) return Refuse(503, "version_unknown", RetryDelay());
+  began_at_ = *version;
+  return true;
+}
+
 std::string relayed_request::Fingerprint() const {
   std::string text =
       received_.method + ' ' + received_.path + '?' + received_.query + '\n' +
@@ -221,7 +256,8 @@
 
 bool relayed_request::MayRetry() const {
   const bool resumes = sink_.started();
-  return route_->repeatable && (!resumes || route_->resumable) &&
+  return route_->repeatable &&
+         (!resumes || (route_->resumable && !began_at_.value().empty())) &&
          runs_ < route_->max_attempts && TimeLeft() > kDeadlineMargin;
 }
 
@@ -239,8 +275,11 @@
         choice.status == choice_status::kLimited) {
       return choice;
     }
-    const bool may_come = choice.status == choice_status::kNoAdapter ||
-                          choice.status == choice_status::kNoModel;
+    const bool may_come =
+        choice.status == choice_status::kNoAdapter ||
+        choice.status == choice_status::kNoModel ||
+        (choice.status == choice_status::kNoVersion && BeginsStream() &&
+         host_.time.now() - received_at_ < kMaxConfigWait);
     const auto now = host_.time.now();
     if (!may_come || now >= wait_until) return choice;
     if (choice.status == choice_status::kNoAdapter && host_.request_adapter) {
@@ -264,6 +303,11 @@
     if (paused_for > clock::duration(0)) pass_over(engine, paused_for);
   }
   while (true) {
+    if (route_->resumable) {
+      requirements_.software =
+          BeginsStream() ? host_.versions.AllowedForNew(requirements_.service)
+                         : std::set<software_version>{began_at_};
+    }
     auto choice = host_.fleet.Choose(requirements_, MaxSlotWait(), excluded);
     if (choice.status != choice_status::kChosen) {
       // Another engine may load the adapter within milliseconds.
@@ -329,6 +373,10 @@
       Refuse(503, "engines_limited",
              ToMilliseconds(choice.wait) + RetryJitter());
       return;
+    case choice_status::kNoVersion:
+      Refuse(503, BeginsStream() ? "version_unknown" : "version_gone",
+             RetryDelay());
+      return;
     case choice_status::kNoModel:
       Refuse(503, "model_not_loaded", RetryDelay());
       return;
--- a/packages/edge/request_send.cpp
+++ b/packages/edge/request_send.cpp
@@ -31,6 +31,8 @@
 // typical answer time, but not before this fraction of its latency objective.
 constexpr double kSlowAnswerFactor = 5;
 constexpr double kSlowAnswerFraction = 0.6;
+// Covers one write of the store that is answered late, and one retry.
+constexpr milliseconds kMaxStartWait{1000};
 // Urgency at the engine of the highest priority.
 constexpr int kTopUrgency = 2;
 // A connection is refused within a round trip.
@@ -245,6 +247,7 @@
   if (is_model_) call.urgency = Urgency();
   call.last_event = last_event_;
   const auto request = host_.dialect.EngineRequest(received_, call);
+  if (BeginsStream()) RecordStart();
   if (!connection.Send(request, TimeLeft(), yield_, true))
     return OnConnectionLost();
   const auto limit = AnswerTimeout(typical_answer_s);
@@ -345,6 +348,23 @@
   host_.connections.Return(id, std::move(lease), life);
 }
 
+void relayed_request::RecordStart() {
+  start_ticket_ = host_.versions.RecordStart(
+      requirements_.service, {StreamKey(caller_.id), engine_software_},
+      start_ticket_.has_value());
+  if (start_ticket_) host_.versions_changed.Notify();
+}
+
+bool relayed_request::AwaitStartStored() {
+  const auto wait_until = host_.time.now() + kMaxStartWait;
+  while (start_ticket_ && !host_.versions.IsStored(*start_ticket_)) {
+    if (IsInterrupted() || host_.time.now() >= wait_until) return false;
+    host_.versions_changed.Wait(wait_until - host_.time.now(), yield_);
+  }
+  host_.versions.OnBegun({StreamKey(caller_.id), engine_software_});
+  return true;
+}
+
 send_result relayed_request::RelayStream(const endpoint_id& id,
                                          engine_connections::lease& lease,
                                          const http_response& head,
@@ -374,6 +394,9 @@
       return break_off("event too large");
     }
     if (!sink_.started()) {
+      if (BeginsStream() && !AwaitStartStored()) {
+        return break_off("the start of the stream was not stored");
+      }
       RecordFirstAnswer();
       began_at_ = engine_software_;
       sink_.StartStream({head.status, host_.dialect.CallerFields(head), {}},
--- a/packages/edge/store_sync.cpp
+++ b/packages/edge/store_sync.cpp
@@ -91,7 +91,7 @@
       records_at_ = now;
       log_.Update(read->version, *read->records,
                   host_.store_contact.MayLackRecords());
-      if (Supersede({kOwnReads, "", log_.end()}, log_.version())) {
+      if (Supersede({kOwnReads, "", log_.end()}, log_.version(), now)) {
         host_.records.Apply(log_.version(), log_.Records(), log_.Kept(),
                             kOwnReads, now);
       }
@@ -190,14 +190,15 @@
   // Records of a later version are at least as recent.
   records_at_ = std::max(records_at_, read_at);
   if (Supersede({followed_host_, response->records.log, position},
-                response->records.version)) {
+                response->records.version, read_at)) {
     host_.records.Apply(response->records.version, follower_.Records(),
                         response->records.kept, followed_host_, read_at);
   }
 }
 
 bool store_sync::Supersede(const record_source& source,
-                           const serving::store_version& version) {
+                           const serving::store_version& version,
+                           clock::time_point read_at) {
   const bool ignored = version < host_.records.version();
   if (ignored && !ignored_) {
     host_.log.Write("records_ignored",
@@ -209,7 +210,7 @@
   if (ignored) return false;
   const bool unchanged =
       source.log == applied_.log && source.position == applied_.position;
-  if (unchanged) host_.records.Confirm(version);
+  if (unchanged) host_.records.Confirm(version, read_at);
   applied_ = source;
   return !unchanged;
 }
@@ -264,6 +265,12 @@
                              host_.settings.quota_window);
     host_.quota.SetLimit(account.id, limit.tokens_per_s, limit.burst_tokens);
   }
+  std::set<serving::service_id> resumable;
+  for (const auto& route : host_.config->routes) {
+    if (!route.resumable) continue;
+    for (const auto& target : route.services) resumable.insert(target.service);
+  }
+  host_.versions.SetServices(std::move(resumable));
   host_.changed.Notify();
   if (host_.on_config) host_.on_config();
   host_.metrics.SetGauge("config_version",
--- a/packages/edge/store_sync.h
+++ b/packages/edge/store_sync.h
@@ -60,10 +60,11 @@
     std::uint64_t position = 0;
   };
 
-  // Whether records from `source` as of `version` replace those in effect; not
-  // if they are older or unchanged.
+  // Whether records from `source` as of `version`, which were read at
+  // `read_at`, replace those in effect; not if they are older or unchanged.
   bool Supersede(const record_source& source,
-                 const serving::store_version& version);
+                 const serving::store_version& version,
+                 clock::time_point read_at);
   void LogKeptRecords();
   milliseconds TimeToNextListing() const;
   milliseconds RetryInterval() const;
--- a/packages/serving/engine_fleet.cpp
+++ b/packages/serving/engine_fleet.cpp
@@ -214,6 +214,13 @@
       continue;
     }
     if (choice.status == choice_status::kNoEngine) {
+      choice.status = choice_status::kNoVersion;
+    }
+    if (requirements.software &&
+        requirements.software->count(engine.record.software) == 0) {
+      continue;
+    }
+    if (choice.status == choice_status::kNoVersion) {
       choice.status = choice_status::kNoModel;
     }
     if (!requirements.model.value().empty()) {
--- a/packages/serving/engine_fleet.h
+++ b/packages/serving/engine_fleet.h
@@ -35,6 +35,8 @@
   model_id model;
   /// Empty if the request names no adapter.
   adapter_id adapter;
+  /// Software versions that may serve it; any if not set.
+  std::optional<std::set<software_version>> software = std::nullopt;
   /// Maximum requests that this host has in flight at one engine, so that all
   /// hosts together stay within the engine's connection limit.
   int max_in_flight = std::numeric_limits<int>::max();
@@ -86,6 +88,8 @@
   kChosen,
   /// The service has no endpoint that accepts requests.
   kNoEngine,
+  /// Engines accept requests, but none of a version that may serve it.
+  kNoVersion,
   /// No engine has the model.
   kNoModel,
   /// Engines have the model but none has the adapter.
--- /dev/null
+++ b/packages/serving/stream_versions.h
@@ -0,0 +1,186 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "serving/serving_config.h"
+
+namespace bluebell::serving {
+
+/// The software version at which a resumable stream began.
+struct stream_start {
+  /// The caller's attempt that got the first event.
+  request_id attempt;
+  software_version software;
+};
+
+/// Stored object: starts of streams in the order in which they were recorded.
+/// A later start of the same attempt replaces an earlier one.
+struct start_batch {
+  std::string name;
+  /// 0: not stored yet.
+  std::uint64_t revision = 0;
+  std::vector<stream_start> starts;
+};
+
+/// Stored object: where the streams of a service began.
+struct version_table {
+  service_id service;
+  /// Streams whose start is not stored began at this version.
+  software_version base;
+  /// Streams may have begun at other versions, too; their starts are stored.
+  bool several = false;
+  /// 0: not stored yet.
+  std::uint64_t revision = 0;
+
+  friend bool operator==(const version_table& a, const version_table& b) {
+    return a.service == b.service && a.base == b.base &&
+           a.several == b.several && a.revision == b.revision;
+  }
+};
+
+struct version_listing {
+  std::uint64_t era = 0;
+  std::vector<version_table> tables;
+  /// Sorted by name.
+  std::vector<start_batch> batches;
+};
+
+/// Decides at which software versions resumable streams may begin and go on.
+/// A stream may only go on at the version that began it, at any host, also
+/// after all hosts were killed.
+///
+/// The store holds one table per service. It names a base version: the start of
+/// a stream at any other version is stored before the caller gets the first
+/// event. So a stream whose start is not stored began at the base version, and
+/// a host that knows nothing finds the version of every stream in one listing.
+/// With one version in service, no start is stored.
+///
+/// The base version changes only after none of its engines was listed for
+/// `kStreamLifetime`; until then starts at all other versions are stored.
+///
+/// Load pattern: a few streams a second may be resumed. A rollout replaces
+/// engines within seconds; a restart of all hosts brings back most callers at
+/// once, whose listings are shared.
+class stream_versions {
+ public:
+  using software_by_service = std::map<service_id, std::set<software_version>>;
+
+  /// All attempts of a caller at one stream end within this time.
+  static constexpr std::chrono::seconds kStreamLifetime{60};
+
+  /// `owner` makes the names of this process's batches unique.
+  stream_versions(const clock& source, std::string owner)
+      : clock_(source), owner_(std::move(owner)) {}
+
+  /// Services that have routes whose streams may be resumed.
+  void SetServices(std::set<service_id> services);
+  /// Versions of all listed engines, as of `as_of`.
+  void OnEngines(const software_by_service& listed, clock::time_point as_of);
+  /// The engines of the last `OnEngines` are also listed as of `as_of`.
+  void OnConfirmed(clock::time_point as_of);
+
+  /// Versions at which a stream of `service` may begin now.
+  std::set<software_version> AllowedForNew(const service_id& service) const;
+  /// A stream is about to begin. Returns a ticket for `IsStored`, or none if
+  /// its start need not be stored. `recorded`: an earlier start of the attempt
+  /// was recorded.
+  std::optional<std::uint64_t> RecordStart(const service_id& service,
+                                           const stream_start& start,
+                                           bool recorded);
+  bool IsStored(std::uint64_t ticket) const { return ticket <= stored_; }
+  /// The caller gets the first event of a stream.
+  void OnBegun(const stream_start& start);
+
+  /// Asks for a listing that begins after this call; returns its ticket.
+  std::uint64_t RequestListing() { return ++wanted_listing_; }
+  bool HasListing(std::uint64_t ticket) const { return ticket <= listing_; }
+  /// Version of a stream that began at this host.
+  std::optional<software_version> BegunHere(const request_id& attempt) const;
+  /// Version at which the stream of `attempt` began, by the newest listing;
+  /// none if unknown. An empty attempt stands for any stream of the service.
+  std::optional<software_version> VersionOf(const service_id& service,
+                                            const request_id& attempt) const;
+
+  /// Whether the store has to be listed now. `cleans`: this host removes
+  /// batches of processes that have ended.
+  bool WantsListing(std::uint64_t store_era, bool cleans) const;
+  std::uint64_t wanted_listing() const { return wanted_listing_; }
+  void OnListing(const version_listing& listing, std::uint64_t ticket);
+  /// A table that has to be written, if its revision is still the same.
+  std::optional<version_table> NextTable() const;
+  void OnTableWritten(const version_table& table);
+
+  /// A batch that has to be written; no other may be until its result is known.
+  std::optional<start_batch> NextBatch();
+  void OnBatchWritten(std::uint64_t revision);
+  /// The write failed, and may take effect later.
+  void OnBatchFailed();
+  /// Names of batches that no caller needs any more; each is returned once.
+  std::vector<std::string> TakeExpired(bool cleans);
+
+ private:
+  struct service_state {
+    std::set<software_version> listed;
+    /// When each version was listed last.
+    std::map<software_version, clock::time_point> last_listed;
+    std::optional<version_table> table;
+    /// The base version was listed all the time since the table was read.
+    bool confirmed = false;
+    /// What the table said before the store was restored from an older copy.
+    std::optional<version_table> before_restore;
+  };
+
+  bool IsCurrent() const;
+  // Whether the versions were observed for `kStreamLifetime` without a gap.
+  bool HasHistory() const;
+  static bool WasListedSince(const service_state& state,
+                             const software_version& software,
+                             clock::time_point since);
+  std::optional<version_table> NextTable(const service_id& service,
+                                         const service_state& state) const;
+  void ForgetOld();
+  std::string NewBatchName();
+
+  const clock& clock_;
+  std::string owner_;
+  std::map<service_id, service_state> services_;
+  std::set<service_id> resumable_;
+  std::optional<clock::time_point> as_of_;
+  clock::time_point observed_since_;
+
+  // Streams that began here, oldest first in `own_order_`.
+  std::map<request_id, software_version> own_;
+  std::deque<std::pair<clock::time_point, request_id>> own_order_;
+
+  // The batch that is being filled; `stored_here_` of its starts are stored.
+  start_batch batch_;
+  std::size_t stored_here_ = 0;
+  std::size_t writing_ = 0;
+  clock::time_point batch_opened_;
+  int batch_number_ = 0;
+  std::uint64_t recorded_ = 0;
+  std::uint64_t stored_ = 0;
+  std::optional<clock::time_point> failed_at_;
+  // Batches of this process that are complete, and when they became so.
+  std::deque<std::pair<clock::time_point, std::string>> closed_;
+
+  std::uint64_t wanted_listing_ = 1;
+  std::uint64_t listing_ = 0;
+  std::uint64_t listed_era_ = 0;
+  clock::time_point listed_at_;
+  std::map<request_id, software_version> starts_;
+  // Batches of other processes, and when they were first listed unchanged.
+  std::map<std::string, std::pair<std::uint64_t, clock::time_point>> others_;
+};
+
+}  // namespace bluebell::serving
--- /dev/null
+++ b/packages/serving/tests/stream_versions_test.cpp
@@ -0,0 +1,363 @@
+#include "serving/stream_versions.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <memory>
+#include <random>
+
+#include "base/manual_clock.h"
+
+namespace bluebell::serving {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const service_id kService("llm");
+
+software_version Version(int number) {
+  return software_version("v" + std::to_string(number));
+}
+
+/// The store: compare-and-swap by name, calls that fail, and writes that take
+/// effect although they were not answered.
+class fake_store {
+ public:
+  explicit fake_store(std::mt19937_64& random) : random_(random) {}
+
+  bool Answers() { return up && random_() % 20 != 0; }
+  std::optional<std::uint64_t> WriteTable(version_table table) {
+    return Write(listing.tables, std::move(table),
+                 [](const auto& entry) { return entry.service.value(); });
+  }
+  std::optional<std::uint64_t> WriteBatch(start_batch batch) {
+    return Write(listing.batches, std::move(batch),
+                 [](const auto& entry) { return entry.name; });
+  }
+  version_listing List() {
+    auto sorted = listing;
+    std::sort(sorted.batches.begin(), sorted.batches.end(),
+              [](const auto& a, const auto& b) { return a.name < b.name; });
+    return sorted;
+  }
+
+  bool up = true;
+  version_listing listing;
+
+ private:
+  template <class Object, class Name>
+  std::optional<std::uint64_t> Write(std::vector<Object>& objects,
+                                     Object written, Name name) {
+    if (!up) return std::nullopt;
+    const bool lost = random_() % 20 == 0;
+    if (lost && random_() % 2 == 0) return std::nullopt;
+    const auto found = std::find_if(
+        objects.begin(), objects.end(),
+        [&](const auto& entry) { return name(entry) == name(written); });
+    const auto before = found == objects.end() ? 0 : found->revision;
+    if (before != written.revision) return std::nullopt;
+    written.revision = ++revision_;
+    if (found == objects.end()) {
+      objects.push_back(std::move(written));
+    } else {
+      *found = std::move(written);
+    }
+    if (lost) return std::nullopt;
+    return revision_;
+  }
+
+  std::mt19937_64& random_;
+  std::uint64_t revision_ = 0;
+};
+
+/// Hosts that see the engines up to two seconds late, begin streams, take them
+/// up, and are killed.
+class fleet_replay {
+ public:
+  explicit fleet_replay(std::uint64_t seed) : random_(seed), store_(random_) {
+    clock_.Advance(seconds(100));
+    listed_.insert(Version(1));
+    for (int i = 0; i < 4; ++i) hosts_.push_back(NewHost());
+  }
+
+  void Run(seconds length) {
+    for (const auto end = clock_.now() + length; clock_.now() < end;) {
+      clock_.Advance(kStep);
+      ChangeEngines();
+      if (random_() % 400 == 0) store_.up = false;
+      if (!store_.up && random_() % 60 == 0) store_.up = true;
+      if (random_() % 300 == 0) hosts_[Draw(hosts_.size())] = NewHost();
+      if (random_() % 600 == 0) {
+        for (auto& host : hosts_) host = NewHost();
+      }
+      for (auto& host : hosts_) Step(host);
+      for (auto& host : hosts_) Begin(host);
+      TakeUp();
+    }
+  }
+
+  int joined = 0;
+  int taken_up = 0;
+  int known = 0;
+  int begun_elsewhere = 0;
+
+ private:
+  static constexpr milliseconds kStep{100};
+
+  struct host {
+    std::unique_ptr<stream_versions> versions;
+    milliseconds lag{0};
+    std::vector<std::pair<std::uint64_t, stream_start>> waiting;
+  };
+
+  struct begun_stream {
+    stream_start start;
+    clock::time_point at;
+  };
+
+  std::size_t Draw(std::size_t count) { return random_() % count; }
+
+  host NewHost() {
+    host created;
+    created.versions = std::make_unique<stream_versions>(
+        clock_, "p" + std::to_string(++processes_));
+    created.versions->SetServices({kService});
+    created.lag = milliseconds(100 * Draw(20));
+    return created;
+  }
+
+  void ChangeEngines() {
+    history_.emplace_back(clock_.now(), listed_);
+    if (random_() % 150 == 0) listed_.insert(Version(1 + Draw(4)));
+    if (listed_.size() > 1 && random_() % 100 == 0) {
+      listed_.erase(std::next(listed_.begin(), Draw(listed_.size())));
+    }
+  }
+
+  void Step(host& self) {
+    const auto as_of = clock_.now() - self.lag;
+    const auto seen =
+        std::find_if(history_.rbegin(), history_.rend(),
+                     [&](const auto& entry) { return entry.first <= as_of; });
+    if (seen == history_.rend()) return;
+    self.versions->OnEngines({{kService, seen->second}}, as_of);
+    if (self.versions->WantsListing(0, false) && store_.Answers()) {
+      self.versions->OnListing(store_.List(), self.versions->wanted_listing());
+    }
+    if (auto table = self.versions->NextTable()) {
+      if (const auto revision = store_.WriteTable(*table)) {
+        table->revision = *revision;
+        self.versions->OnTableWritten(*table);
+      } else {
+        self.versions->RequestListing();
+      }
+    }
+    if (const auto batch = self.versions->NextBatch()) {
+      if (const auto revision = store_.WriteBatch(*batch)) {
+        self.versions->OnBatchWritten(*revision);
+      } else {
+        self.versions->OnBatchFailed();
+      }
+    }
+    for (const auto& name : self.versions->TakeExpired(false)) {
+      auto& batches = store_.listing.batches;
+      batches.erase(
+          std::remove_if(batches.begin(), batches.end(),
+                         [&](const auto& entry) { return entry.name == name; }),
+          batches.end());
+    }
+  }
+
+  void Begin(host& self) {
+    for (auto it = self.waiting.begin(); it != self.waiting.end();) {
+      if (!self.versions->IsStored(it->first)) {
+        ++it;
+        continue;
+      }
+      OnBegun(self, it->second);
+      it = self.waiting.erase(it);
+    }
+    const auto allowed = self.versions->AllowedForNew(kService);
+    if (allowed.empty()) return;
+    const stream_start start{request_id("a" + std::to_string(++attempts_)),
+                             *std::next(allowed.begin(), Draw(allowed.size()))};
+    const auto ticket = self.versions->RecordStart(kService, start, false);
+    if (ticket) {
+      self.waiting.emplace_back(*ticket, start);
+    } else {
+      OnBegun(self, start);
+    }
+  }
+
+  void OnBegun(host& self, const stream_start& start) {
+    self.versions->OnBegun(start);
+    begun_.push_back({start, clock_.now()});
+    if (start.software != Version(1)) ++begun_elsewhere;
+  }
+
+  void TakeUp() {
+    constexpr seconds kLongestTry{20};
+    if (begun_.size() < 10) return;
+    for (int i = 0; i < 5; ++i) {
+      const auto& stream = begun_[begun_.size() - 1 - Draw(begun_.size())];
+      if (clock_.now() - stream.at > kLongestTry) continue;
+      auto& versions = *hosts_[Draw(hosts_.size())].versions;
+      ++taken_up;
+      auto version = versions.BegunHere(stream.start.attempt);
+      if (!version && store_.Answers()) {
+        const auto ticket = versions.RequestListing();
+        versions.OnListing(store_.List(), ticket);
+        version = versions.VersionOf(kService, stream.start.attempt);
+      }
+      if (version) ++known;
+      if (version && *version != stream.start.software) ++joined;
+    }
+  }
+
+  manual_clock clock_;
+  std::mt19937_64 random_;
+  fake_store store_;
+  std::set<software_version> listed_;
+  std::vector<std::pair<clock::time_point, std::set<software_version>>>
+      history_;
+  std::vector<host> hosts_;
+  std::vector<begun_stream> begun_;
+  int processes_ = 0;
+  int attempts_ = 0;
+};
+
+// Guards against a stream that goes on at another version, over rollouts,
+// killed hosts, outages of the store and writes without an answer; and against
+// hosts that refuse what they could know.
+TEST(stream_versions_replay, StreamsGoOnAtTheirVersion) {
+  int taken_up = 0;
+  int known = 0;
+  int begun_elsewhere = 0;
+  for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+    fleet_replay replay(seed);
+    replay.Run(seconds(150));
+    EXPECT_EQ(replay.joined, 0) << "seed " << seed;
+    taken_up += replay.taken_up;
+    known += replay.known;
+    begun_elsewhere += replay.begun_elsewhere;
+  }
+  EXPECT_GT(begun_elsewhere, 100);
+  EXPECT_GT(known, taken_up / 2);
+}
+
+class stream_versions_fixture : public testing::Test {
+ protected:
+  void List(const std::set<software_version>& versions) {
+    host_.OnEngines({{kService, versions}}, clock_.now());
+  }
+  /// Writes what the host wants to be written.
+  void WriteTable() {
+    auto table = host_.NextTable();
+    ASSERT_TRUE(table);
+    table->revision = ++revision_;
+    host_.OnTableWritten(*table);
+  }
+  void Start(const std::set<software_version>& versions) {
+    host_.SetServices({kService});
+    List(versions);
+    host_.OnListing({}, host_.wanted_listing());
+    WriteTable();
+  }
+
+  manual_clock clock_;
+  std::uint64_t revision_ = 0;
+  stream_versions host_{clock_, "p1"};
+};
+
+// Guards against work for each stream of a service with one version.
+TEST_F(stream_versions_fixture, NothingIsStoredForOneVersion) {
+  Start({Version(1)});
+  EXPECT_EQ(host_.AllowedForNew(kService), std::set({Version(1)}));
+  EXPECT_FALSE(
+      host_.RecordStart(kService, {request_id("a"), Version(1)}, false));
+  EXPECT_FALSE(host_.NextBatch());
+  EXPECT_FALSE(host_.NextTable());
+  clock_.Advance(seconds(10));
+  host_.OnConfirmed(clock_.now());
+  EXPECT_FALSE(host_.WantsListing(0, true));
+}
+
+// Guards against a stream at a new version before the store says that there is
+// one.
+TEST_F(stream_versions_fixture, NewVersionWaitsForTheTable) {
+  Start({Version(1)});
+  List({Version(1), Version(2)});
+  EXPECT_EQ(host_.AllowedForNew(kService), std::set({Version(1)}));
+  WriteTable();
+  EXPECT_EQ(host_.AllowedForNew(kService), std::set({Version(1), Version(2)}));
+}
+
+// Guards against a base version that is replaced while callers may still take
+// up its streams.
+TEST_F(stream_versions_fixture, BaseVersionIsReplacedAfterItsStreams) {
+  Start({Version(1)});
+  for (int i = 0; i < 80; ++i) {
+    clock_.Advance(seconds(1));
+    List({Version(1), Version(2)});
+  }
+  WriteTable();
+  for (int i = 0; i < 65; ++i) {
+    clock_.Advance(seconds(1));
+    List({Version(2)});
+    EXPECT_FALSE(host_.NextTable());
+  }
+  for (int i = 0; i < 8; ++i) {
+    clock_.Advance(seconds(1));
+    List({Version(2)});
+  }
+  const auto table = host_.NextTable();
+  ASSERT_TRUE(table);
+  EXPECT_EQ(table->base, Version(2));
+}
+
+// Guards against a host that begins streams unrecorded although others may have
+// replaced the base version meanwhile.
+TEST_F(stream_versions_fixture, StaleHostBeginsNoStreams) {
+  Start({Version(1)});
+  clock_.Advance(seconds(25));
+  EXPECT_TRUE(host_.AllowedForNew(kService).empty());
+  host_.OnConfirmed(clock_.now());
+  EXPECT_TRUE(host_.AllowedForNew(kService).empty());
+  EXPECT_TRUE(host_.WantsListing(0, false));
+}
+
+// Guards against an older start of an attempt that was sent to two engines.
+TEST_F(stream_versions_fixture, LaterStartOfAnAttemptReplacesTheEarlier) {
+  Start({Version(1), Version(2)});
+  host_.RecordStart(kService, {request_id("a"), Version(2)}, false);
+  const auto ticket =
+      host_.RecordStart(kService, {request_id("a"), Version(1)}, true);
+  ASSERT_TRUE(ticket);
+  const auto batch = host_.NextBatch();
+  ASSERT_TRUE(batch);
+  host_.OnBatchWritten(7);
+  EXPECT_TRUE(host_.IsStored(*ticket));
+  host_.OnListing({0, {{kService, Version(1), true, 1}}, {*batch}},
+                  host_.RequestListing());
+  EXPECT_EQ(host_.VersionOf(kService, request_id("a")), Version(1));
+}
+
+// Guards against starts that are lost when a write is answered late or never.
+TEST_F(stream_versions_fixture, UnansweredWriteIsRepeatedUnderAnotherName) {
+  Start({Version(1), Version(2)});
+  const auto ticket =
+      host_.RecordStart(kService, {request_id("a"), Version(2)}, false);
+  const auto first = host_.NextBatch();
+  host_.OnBatchFailed();
+  EXPECT_FALSE(host_.IsStored(*ticket));
+  EXPECT_EQ(host_.AllowedForNew(kService), std::set({Version(1)}));
+  const auto second = host_.NextBatch();
+  ASSERT_TRUE(second);
+  EXPECT_LT(first->name, second->name);
+  host_.OnBatchWritten(8);
+  EXPECT_TRUE(host_.IsStored(*ticket));
+}
+
+}  // namespace
+}  // namespace bluebell::serving
