--- a/packages/edge/digest_exchange.cpp
+++ b/packages/edge/digest_exchange.cpp
@@ -382,6 +382,8 @@
   digest.active = host_.directory.active();
   digest.engaged = host_.directory.engaged();
   digest.leaving = host_.leaving;
+  digest.has_engine_contact = host_.reach.HasContact();
+  digest.engines_lost = host_.reach.lost();
   digest.holds_placement_lease = host_.placement_lease.MayAct();
   digest.hello = host_.directory.peers().empty();
   digest.in_flight = host_.fleet.OwnInFlight();
--- a/packages/edge/edge_host.cpp
+++ b/packages/edge/edge_host.cpp
@@ -7,6 +7,7 @@
 
 #include "edge/digest_exchange.h"
 #include "edge/edge_state.h"
+#include "edge/engine_prober.h"
 #include "edge/pause.h"
 #include "edge/placement_runner.h"
 #include "edge/quarantine_sync.h"
@@ -120,12 +121,14 @@
               std::random_device()()),
         sync(state),
         quarantine(state),
-        versions(state) {}
+        versions(state),
+        prober(state) {}
 
   edge_state state;
   store_sync sync;
   quarantine_sync quarantine;
   version_sync versions;
+  engine_prober prober;
   std::unique_ptr<digest_exchange> exchange;
   std::unique_ptr<placement_runner> placement;
   std::unique_ptr<http_server> callers;
@@ -238,6 +241,7 @@
                      [host](auto yield) { host->versions.RunTables(yield); });
   gateway::SpawnTask(context,
                      [host](auto yield) { host->versions.RunStarts(yield); });
+  gateway::SpawnTask(context, [host](auto yield) { host->prober.Run(yield); });
   gateway::SpawnTask(context, [host](auto yield) {
     LogChanges(host->state, host->quarantine, yield);
   });
--- a/packages/edge/edge_state.h
+++ b/packages/edge/edge_state.h
@@ -21,6 +21,7 @@
 #include "serving/demand_average.h"
 #include "serving/engine_fleet.h"
 #include "serving/engine_limits.h"
+#include "serving/engine_reach.h"
 #include "serving/host_directory.h"
 #include "serving/key_freshness.h"
 #include "serving/part_quarantine.h"
@@ -59,6 +60,7 @@
         fleet(source, settings.zone, seed),
         versions(source, incarnation),
         records(source, log, metrics, fleet, versions, changed),
+        reach(source),
         limits(source),
         quota(source, seed),
         retries(source, settings.retries),
@@ -123,6 +125,7 @@
   serving::engine_fleet fleet;
   serving::stream_versions versions;
   engine_records records;
+  serving::engine_reach reach;
   serving::engine_limits limits;
   serving::shared_quota quota;
   serving::service_retry_budget retries;
--- a/packages/edge/engine_statements.cpp
+++ b/packages/edge/engine_statements.cpp
@@ -27,6 +27,7 @@
 void OnEngineAnswer(edge_state& host, const endpoint_id& engine,
                     const http_response& head,
                     std::optional<clock::time_point> sent) {
+  host.reach.OnContact();
   const auto statement = host.dialect.ReadStatement(head);
   const bool from_another =
       !statement.engine.value().empty() && statement.engine != engine;
--- a/packages/edge/placement_runner.cpp
+++ b/packages/edge/placement_runner.cpp
@@ -408,7 +408,10 @@
   if (!TakePermit(host_, id, yield).granted) return std::nullopt;
   auto lease =
       host_.connections.Take(id, address, kOrderTimeout, kOrderTimeout, yield);
-  if (!lease) return std::nullopt;
+  if (!lease) {
+    host_.reach.OnNotConnected();
+    return std::nullopt;
+  }
   if (!lease->connection->Send(host_.dialect.ReportRequest(id), kOrderTimeout,
                                yield, true)) {
     return std::nullopt;
--- a/packages/edge/request_send.cpp
+++ b/packages/edge/request_send.cpp
@@ -171,6 +171,7 @@
   }
   if (!lease) {
     last_detail_ = lease.error().detail;
+    host_.reach.OnNotConnected();
     host_.connections.CloseIdle(id);
     host_.fleet.OnEnd(id, {true, std::nullopt, clock::duration(0), {}, {}});
     if (IsInterrupted())
@@ -178,6 +179,7 @@
     return send_result::kNotRun;
   }
   reused_ = lease->reused;
+  if (!reused_) host_.reach.OnConnected();
   if (IsInterrupted() || TimeLeft() <= kDeadlineMargin) {
     host_.connections.Return(id, std::move(*lease), kDefaultIdleLifetime);
     host_.fleet.OnEnd(id, {false, std::nullopt, clock::duration(0), {}, {}});
@@ -185,7 +187,9 @@
     return caller_gone_ ? send_result::kCallerGone : send_result::kExpired;
   }
   active_connection_ = lease->connection.get();
+  const auto send = host_.reach.OnSend(id);
   const send_result result = Exchange(id, *lease, typical_answer_s);
+  host_.reach.OnEnd(send);
   active_connection_ = nullptr;
   const bool failed =
       result == send_result::kUnknown || result == send_result::kFailedAnswer ||
@@ -254,6 +258,7 @@
   auto head = connection.ReadHead(limit, yield_);
   if (!head) {
     last_detail_ = head.error().detail;
+    if (!IsInterrupted()) host_.reach.OnNoAnswer();
     return OnConnectionLost();
   }
   auto answer_info = ReadAnswer(id, *head);
@@ -385,6 +390,7 @@
                                                   ? " inside an event"
                                                   : " between events"));
     }
+    host_.reach.OnContact();
     if (part->empty()) break;
     const auto scanned = pending.size();
     pending += *part;
--- a/packages/serving/host_digest.cpp
+++ b/packages/serving/host_digest.cpp
@@ -38,10 +38,11 @@
   out["cap"] = digest.capacity;
   out["up"] = digest.uptime_ms;
   out["n"] = digest.number;
-  out["state"] = (digest.serving ? 1 : 0) | (digest.leaving ? 2 : 0) |
-                 (digest.hello ? 4 : 0) |
-                 (digest.holds_placement_lease ? 8 : 0) |
-                 (digest.active ? 16 : 0) | (digest.engaged ? 32 : 0);
+  out["state"] =
+      (digest.serving ? 1 : 0) | (digest.leaving ? 2 : 0) |
+      (digest.hello ? 4 : 0) | (digest.holds_placement_lease ? 8 : 0) |
+      (digest.active ? 16 : 0) | (digest.engaged ? 32 : 0) |
+      (digest.has_engine_contact ? 64 : 0) | (digest.engines_lost ? 128 : 0);
   json& flight = out["flight"] = json::array();
   for (const auto& [engine, count] : digest.in_flight) {
     flight.push_back(json::array({engine.value(), count}));
@@ -177,6 +178,8 @@
   digest.holds_placement_lease = state & 8;
   digest.active = state & 16;
   digest.engaged = state & 32;
+  digest.has_engine_contact = state & 64;
+  digest.engines_lost = state & 128;
   for (const auto& row : in.at("flight")) {
     digest.in_flight[endpoint_id(row.at(0).get<std::string>())] =
         row.at(1).get<int>();
--- a/packages/serving/host_digest.h
+++ b/packages/serving/host_digest.h
@@ -53,6 +53,10 @@
   bool engaged = false;
   /// The host is stopping.
   bool leaving = false;
+  /// The host has reached an engine a short time ago (`engine_reach`).
+  bool has_engine_contact = false;
+  /// The host reaches no engine.
+  bool engines_lost = false;
   /// The host holds the placement lease and sends orders to engines.
   bool holds_placement_lease = false;
   /// Requests a digest in reply, because the sender has just started.
--- a/packages/serving/host_directory.cpp
+++ b/packages/serving/host_directory.cpp
@@ -168,6 +168,13 @@
   return holder;
 }
 
+int host_directory::PeersInContact() const {
+  return static_cast<int>(
+      std::count_if(peers_.begin(), peers_.end(), [this](const auto& entry) {
+        return IsLive(entry.second) && entry.second.newest.has_engine_contact;
+      }));
+}
+
 bool host_directory::IsLive(const peer& other) const {
   return clock_.now() - other.heard <= kSilenceTimeout &&
          other.newest.serving && !other.newest.leaving;
--- a/packages/serving/host_directory.h
+++ b/packages/serving/host_directory.h
@@ -81,6 +81,8 @@
   /// How much later than the quickest digests of its sender `digest` is
   /// handled: ages in it have grown by that much. Zero for the first one.
   clock::duration Lateness(const host_digest& digest);
+  /// Number of live hosts that reach engines.
+  int PeersInContact() const;
   /// The live host that most recently reported to hold the placement lease;
   /// null if none.
   const peer* LeaseHolder() const;
