edge: a host that reaches no engine passes its requests on to one that does

Cause: a host judged engines, never its own links; it had no other way to serve than its own connections, stayed in the address answers, and kept the placement lease, so that the other hosts got no adapters.

Such a host now leaves the address answers, resigns the lease and passes each request on to a host in contact with engines, one hop. Account, quota and service are decided once; the second host takes them only from listed hosts. Outcomes of a host without engines are not exported, and a refused connection counts as an engine's crash only if another engine is reachable.

Ruled out: engines that are busy or down, since the other hosts served at the same time.

--- a/packages/edge/digest_exchange.cpp
+++ b/packages/edge/digest_exchange.cpp
@@ -274,9 +274,11 @@
         host_.time.now() + (settling ? kListSettling : kListInterval);
     // A store that was restored from an older copy may have lost the entry.
     const auto era = host_.store.Era();
-    while (host_.time.now() < next && !(host_.store_era > era)) {
+    while (host_.time.now() < next && !(host_.store_era > era) &&
+           !host_.list_hosts_again) {
       Pause(host_.io, kListRetry, yield);
     }
+    host_.list_hosts_again = false;
   }
 }
 
@@ -373,6 +375,7 @@
   digest.incarnation = host_.incarnation;
   digest.zone = host_.settings.zone;
   digest.front_address = host_.settings.callers_listen;
+  digest.forward_address = host_.settings.forwards_listen;
   digest.capacity = host_.settings.capacity;
   digest.uptime_ms =
       std::chrono::duration_cast<milliseconds>(host_.time.now() - host_.started)
@@ -407,6 +410,8 @@
   auto digest = BuildDigest();
   const auto common = serving::EncodeDigest(digest);
   digest.outcomes = host_.fleet.TakeOutcomes();
+  // They tell of this host's links, not of the engines.
+  if (host_.reach.lost()) digest.outcomes = {};
   const auto for_own_zone = serving::EncodeDigest(digest);
   // Standby hosts have no demand to report.
   const auto* holder =
--- a/packages/edge/edge_host.cpp
+++ b/packages/edge/edge_host.cpp
@@ -51,6 +51,13 @@
   return limits;
 }
 
+// The fields that carry a forwarded call come on top of the caller's.
+gateway::http_limits ToForwardLimits(gateway::http_limits limits) {
+  constexpr std::uint32_t kForwardFieldBytes = 4096;
+  limits.max_header_bytes += kForwardFieldBytes;
+  return limits;
+}
+
 std::string NewIncarnation() {
   std::random_device source;
   return std::to_string(source()) + "-" + std::to_string(source());
@@ -124,6 +131,10 @@
         versions(state),
         prober(state) {}
 
+  std::size_t OpenRequests() const {
+    return callers->open_requests() + forwards->open_requests();
+  }
+
   edge_state state;
   store_sync sync;
   quarantine_sync quarantine;
@@ -132,6 +143,7 @@
   std::unique_ptr<digest_exchange> exchange;
   std::unique_ptr<placement_runner> placement;
   std::unique_ptr<http_server> callers;
+  std::unique_ptr<http_server> forwards;
   std::unique_ptr<http_server> ready;
   std::unique_ptr<http_server> directory;
   std::unique_ptr<http_server> metrics;
@@ -174,12 +186,18 @@
     return std::move(*server);
   };
   host->state.on_config = [host] {
-    host->callers->SetLimits(ToHttpLimits(host->state.config->limits));
+    const auto limits = ToHttpLimits(host->state.config->limits);
+    host->callers->SetLimits(limits);
+    host->forwards->SetLimits(ToForwardLimits(limits));
   };
   host->callers = listen(settings.callers_listen, ToHttpLimits({}),
                          [host](const auto& request, auto& sink, auto yield) {
                            RelayRequest(host->state, request, sink, yield);
                          });
+  host->forwards = listen(settings.forwards_listen, ToForwardLimits({}),
+                          [host](const auto& request, auto& sink, auto yield) {
+                            RelayForwarded(host->state, request, sink, yield);
+                          });
   if (host->callers) {
     host->callers->OnConnectionEnd(
         [host](const auto& last) { LogConnectionEnd(host->state, last); });
@@ -201,8 +219,8 @@
               dialect.LocalAnswer(404, request_id(), std::nullopt), yield);
           return;
         }
-        const auto addresses =
-            host->state.directory.Addresses(query->zone, host->state.Serving());
+        const auto addresses = host->state.directory.Addresses(
+            query->zone, host->state.Serving(), !host->state.reach.lost());
         sink.SendResponse(
             addresses.empty()
                 ? dialect.LocalAnswer(503, request_id(), std::nullopt)
@@ -272,6 +290,7 @@
       "host_stopping",
       {{"open_requests", std::to_string(host->callers->open_requests())}});
   host->callers->CloseAfterResponses();
+  host->forwards->CloseAfterResponses();
   host->exchange->SendToEveryHost();
   const auto accepts_until = begun + serving::stop_admission::kAcceptPeriod;
   gateway::SpawnTask(state.io, [host](auto yield) {
@@ -287,15 +306,14 @@
     auto& state = host->state;
     while (state.time.now() < last) {
       const bool refuses = state.time.now() >= accepts_until;
-      if (refuses && host->signed_off && host->callers->open_requests() == 0)
-        break;
+      if (refuses && host->signed_off && host->OpenRequests() == 0) break;
       Pause(state.io, kStopPollInterval, yield);
     }
     // An engine may not have begun to answer; its caller learns that the answer
     // is lost instead of waiting on a closed connection.
     EndOpenRequests(state);
     const auto exit = state.time.now() + kLastAnswersPeriod;
-    while (host->callers->open_requests() > 0 && state.time.now() < exit) {
+    while (host->OpenRequests() > 0 && state.time.now() < exit) {
       Pause(state.io, kStopPollInterval, yield);
     }
     LogOpenConnections(state, *host->callers);
--- a/packages/edge/edge_settings.cpp
+++ b/packages/edge/edge_settings.cpp
@@ -74,6 +74,7 @@
       Address("listen", "directory"),
       Address("listen", "metrics"),
       Address("listen", "digests"),
+      Address("listen", "forwards"),
       Address("store", "address"),
       // A call takes milliseconds; two timeouts still fit into the bounds.
       Milliseconds("store", "timeout_ms", "700"),
@@ -113,6 +114,7 @@
   loaded.directory_listen = read->Text("listen", "directory");
   loaded.metrics_listen = read->Text("listen", "metrics");
   loaded.digest_listen = read->Text("listen", "digests");
+  loaded.forwards_listen = read->Text("listen", "forwards");
   loaded.store_address = read->Text("store", "address");
   loaded.store_timeout = read->Milliseconds("store", "timeout_ms");
   loaded.key_withdrawal =
--- a/packages/edge/edge_settings.h
+++ b/packages/edge/edge_settings.h
@@ -26,6 +26,8 @@
   std::string directory_listen;
   std::string metrics_listen;
   std::string digest_listen;
+  /// For requests of hosts that reach no engine.
+  std::string forwards_listen;
   std::string store_address;
   milliseconds store_timeout{};
   /// Time within which a revoked key must be rejected.
--- a/packages/edge/edge_state.h
+++ b/packages/edge/edge_state.h
@@ -101,6 +101,8 @@
   bool leaving = false;
   /// Requests received from callers since the start.
   std::uint64_t requests_received = 0;
+  /// An unknown host makes itself known: the store's list is read again.
+  bool list_hosts_again = false;
   /// Requests that are being served.
   std::set<relayed_request*> open_requests;
   /// Highest known era of the store (`deployment_store::Era`), from this host's
--- a/packages/edge/engine_prober.cpp
+++ b/packages/edge/engine_prober.cpp
@@ -56,11 +56,11 @@
   const bool was_lost = host_.reach.lost();
   host_.reach.OnProbes(round->reached, round->failed);
   if (host_.reach.lost() == was_lost) return;
-  host_.log.Write(
-      host_.reach.lost() ? "engines_lost" : "engines_regained",
-      {{"probes", std::to_string(count)},
-       {"reached", std::to_string(round->reached)},
-       {"peers_in_contact", std::to_string(host_.directory.PeersInContact())}});
+  host_.log.Write(host_.reach.lost() ? "engines_lost" : "engines_regained",
+                  {{"probes", std::to_string(count)},
+                   {"reached", std::to_string(round->reached)},
+                   {"peers_in_contact",
+                    std::to_string(host_.directory.PeersInContact().size())}});
   host_.changed.Notify();
 }
 
--- a/packages/edge/placement_runner.cpp
+++ b/packages/edge/placement_runner.cpp
@@ -63,7 +63,17 @@
     const auto now = host_.time.now();
     const bool is_holder =
         host_.placement_lease.known().holder == host_.settings.id;
-    const bool is_candidate = host_.directory.Rank() < kCandidateHosts;
+    // A holder that reaches no engine would keep all others from sending
+    // orders.
+    const bool reaches_none =
+        host_.reach.lost() && !host_.directory.PeersInContact().empty();
+    if (reaches_none) {
+      host_.placement_lease.Resign();
+    } else {
+      host_.placement_lease.Return();
+    }
+    const bool is_candidate =
+        !reaches_none && host_.directory.Rank() < kCandidateHosts;
     // A write on condition of a revision is void once the store was restored.
     const bool is_restored =
         host_.store.Era() > host_.placement_lease.known().store_era;
--- a/packages/edge/relayed_request.h
+++ b/packages/edge/relayed_request.h
@@ -8,6 +8,7 @@
 
 #include "edge/edge_state.h"
 #include "edge/engine_connections.h"
+#include "edge/forwarded_call.h"
 #include "gateway/endpoint_connection.h"
 #include "gateway/response_writer.h"
 
@@ -35,14 +36,16 @@
  public:
   relayed_request(edge_state& host, const http_request& received,
                   gateway::response_writer& sink,
-                  boost::asio::yield_context yield)
+                  boost::asio::yield_context yield,
+                  std::optional<forwarded_call> forwarded = std::nullopt)
       : host_(host),
         received_(received),
         sink_(sink),
         yield_(yield),
         received_at_(host.time.now()),
         config_(host.config),
-        caller_(host.dialect.ReadRequest(received)) {}
+        caller_(host.dialect.ReadRequest(received)),
+        forwarded_(std::move(forwarded)) {}
 
   /// Serves the request to completion.
   void Run();
@@ -59,6 +62,10 @@
  private:
   // Checks route, account and limits. Returns false if the request was refused.
   bool Admit();
+  // Admits a request for which another host has decided account and quota.
+  bool AdmitForwarded();
+  // Sets what the request needs of an engine of its service.
+  void SetRequirements();
   void AwaitConfig();
   // Id under which the start of the stream of `attempt` is known. Callers
   // choose ids; long ones are represented by their hash.
@@ -102,6 +109,15 @@
   // earlier send may have run it.
   void EndWithoutEngine(const serving::engine_choice& choice);
   send_result SendTo(const endpoint_id& id);
+  // A host that reaches engines, while this one does not; null if this host
+  // has to serve the request itself.
+  const serving::host_directory::peer* ForwardTarget();
+  send_result ForwardTo(const host_id& host, const std::string& address);
+  // Passes the request on while this host reaches no engine. Returns false if
+  // the request has ended.
+  bool Forward();
+  http_request ForwardedRequest(const engine_call& call) const;
+  engine_answer ReadForwardedAnswer(const http_response& head);
   // Whether the engine still answers on an idle connection.
   bool IsAlive(const endpoint_id& id, engine_connections::lease& lease);
   // Sends the request on an open connection and relays the answer.
@@ -119,7 +135,8 @@
   engine_answer ReadAnswer(const endpoint_id& id, const http_response& head);
   // Whether this request begins a stream that may be taken up later.
   bool BeginsStream() const {
-    return route_->resumable && caller_.last_event.empty() && !sink_.started();
+    return forwarding_to_.value().empty() && route_->resumable &&
+           caller_.last_event.empty() && !sink_.started();
   }
   // Records at which version the stream begins, before it is sent there.
   void RecordStart();
@@ -165,6 +182,9 @@
   // Interval at which an adapter is requested again from the placement lease
   // holder.
   static constexpr milliseconds kAdapterRequestInterval{100};
+  // Crashes over all hosts from which on a request is refused. A request that
+  // was merely in flight beside the cause is unlikely to be there three times.
+  static constexpr int kCrashLimit = 3;
 
   edge_state& host_;
   const http_request& received_;
@@ -173,6 +193,8 @@
   clock::time_point received_at_;
   std::shared_ptr<const serving::serving_config> config_;
   caller_request caller_;
+  /// Set if another host passed the request on to this one.
+  std::optional<forwarded_call> forwarded_;
   timer_handle deadline_timer_;
 
   const serving::route* route_ = nullptr;
@@ -189,6 +211,11 @@
   bool ended_for_stop_ = false;
 
   std::set<endpoint_id> tried_;
+  std::set<host_id> tried_hosts_;
+  /// Host that the current or last send went to; empty if it went to an engine.
+  host_id forwarding_to_;
+  /// Longest time after which a host that refused the request may take it.
+  milliseconds forward_retry_{0};
   int sends_ = 0;
   /// Number of engines that ran or may have run the request.
   int runs_ = 0;
--- a/packages/edge/request_relay.cpp
+++ b/packages/edge/request_relay.cpp
@@ -35,9 +35,6 @@
 // Covers one listing of the store that is answered late, and one retry.
 constexpr milliseconds kMaxVersionWait{1000};
 constexpr std::size_t kMaxStreamKeyBytes = 64;
-// Crashes over all hosts from which on a request is refused. A request that was
-// merely in flight beside the cause is unlikely to be there three times.
-constexpr int kCrashLimit = 3;
 // Hosts that test quarantined prompt parts for all; more would crash several
 // engines at once.
 constexpr int kTestingHosts = 2;
@@ -57,7 +54,7 @@
 }  // namespace
 
 void relayed_request::Run() {
-  if (!Admit()) return;
+  if (!(forwarded_ ? AdmitForwarded() : Admit())) return;
   ArmInterrupts();
   host_.open_requests.insert(this);
   Dispatch();
@@ -94,16 +91,7 @@
   }
   tests_part_ = verdict == serving::part_verdict::kTrial;
   requirements_.service = ChooseService();
-  requirements_.model = caller_.model;
-  requirements_.adapter = caller_.adapter;
-  const auto* service = config_->FindService(requirements_.service);
-  if (service != nullptr && service->max_connections > 0) {
-    requirements_.max_in_flight = std::max(
-        1, static_cast<int>(kConnectionFraction * service->max_connections /
-                            host_.directory.HostCount()));
-  }
-  is_model_ = service != nullptr && service->engine.has_value();
-  if (!is_model_) requirements_.model = model_id();
+  SetRequirements();
   if (route_->resumable && !caller_.last_event.empty() &&
       !FindStreamVersion()) {
     return false;
@@ -126,6 +114,19 @@
   return true;
 }
 
+void relayed_request::SetRequirements() {
+  requirements_.model = caller_.model;
+  requirements_.adapter = caller_.adapter;
+  const auto* service = config_->FindService(requirements_.service);
+  if (service != nullptr && service->max_connections > 0) {
+    requirements_.max_in_flight = std::max(
+        1, static_cast<int>(kConnectionFraction * service->max_connections /
+                            host_.directory.HostCount()));
+  }
+  is_model_ = service != nullptr && service->engine.has_value();
+  if (!is_model_) requirements_.model = model_id();
+}
+
 // A host that has just started reads its configuration within `kMaxConfigWait`.
 // Waiting serves the caller sooner than a refusal and a second connection.
 void relayed_request::AwaitConfig() {
@@ -208,8 +209,48 @@
                   ToMilliseconds(deadline_ - host_.time.now()));
 }
 
+bool relayed_request::Forward() {
+  while (const auto* peer = ForwardTarget()) {
+    const auto result =
+        ForwardTo(peer->newest.host, peer->newest.forward_address);
+    LogSend(endpoint_id(), result);
+    switch (result) {
+      case send_result::kDelivered:
+      case send_result::kCallerGone:
+        End(ToString(result), 0);
+        return false;
+      case send_result::kExpired:
+        Fail(504, ended_for_stop_ ? "ended_for_stop" : "expired");
+        return false;
+      case send_result::kFailedAnswer:
+        sink_.SendResponse(*failed_answer_, yield_);
+        End("engine_failed", failed_answer_->status);
+        return false;
+      case send_result::kUnknown:
+        may_have_run_ = true;
+        if (!MayRetry() || !TakeRetry()) {
+          Fail(502, "host_lost");
+          return false;
+        }
+        break;
+      case send_result::kNotRun:
+        break;
+    }
+  }
+  const bool refused = !tried_hosts_.empty() && host_.reach.lost();
+  forwarding_to_ = host_id();
+  if (!refused) return true;
+  if (may_have_run_ || sink_.started()) {
+    Fail(502, "host_lost");
+  } else {
+    Refuse(503, "engines_lost", forward_retry_ + RetryJitter());
+  }
+  return false;
+}
+
 void relayed_request::Dispatch() {
   while (true) {
+    if (!Forward()) return;
     const auto choice = WaitForEngine();
     if (choice.status != choice_status::kChosen) {
       EndWithoutEngine(choice);
@@ -421,8 +462,9 @@
 
 bool relayed_request::Refuse(int status, const char* reason,
                              std::optional<milliseconds> retry_after) {
-  sink_.SendResponse(host_.dialect.LocalAnswer(status, caller_.id, retry_after),
-                     yield_);
+  auto answer = host_.dialect.LocalAnswer(status, caller_.id, retry_after);
+  if (forwarded_) MarkAsNotRun(answer);
+  sink_.SendResponse(answer, yield_);
   End(reason, status);
   return false;
 }
@@ -460,6 +502,8 @@
        {"adapter", caller_.adapter.value()},
        {"sends", std::to_string(sends_)},
        {"engine", last_engine_.value()},
+       {"forwarded_to", forwarding_to_.value()},
+       {"forwarded_by", forwarded_ ? forwarded_->from.value() : ""},
        {"software", engine_software_.value()},
        {"began_at", began_at_.value()},
        {"resumes", caller_.resumes.value()},
@@ -487,6 +531,27 @@
   relayed_request(host, received, sink, yield).Run();
 }
 
+void RelayForwarded(edge_state& host, const http_request& received,
+                    gateway::response_writer& sink,
+                    boost::asio::yield_context yield) {
+  const auto call = ReadForwardedCall(received.fields);
+  const bool listed = host.directory.IsListed(received.remote_host);
+  if (!call || !listed) {
+    host.log.Write("forward_rejected",
+                   {{"from", received.remote_host},
+                    {"detail", listed ? "unreadable" : "not a listed host"}});
+    // The sender may have joined since the list was read.
+    if (!listed) host.list_hosts_again = true;
+    auto answer = host.dialect.LocalAnswer(
+        503, host.dialect.ReadRequest(received).id, milliseconds(0));
+    MarkAsNotRun(answer);
+    sink.SendResponse(answer, yield);
+    return;
+  }
+  const auto request = WithoutForwardedCall(received);
+  relayed_request(host, request, sink, yield, call).Run();
+}
+
 void EndOpenRequests(edge_state& host) {
   // A copy: a request removes itself when it ends.
   const auto open = host.open_requests;
--- a/packages/edge/request_relay.h
+++ b/packages/edge/request_relay.h
@@ -17,6 +17,13 @@
                   gateway::response_writer& sink,
                   boost::asio::yield_context yield);
 
+/// Serves a request that a host without engines passes on, and that it has
+/// admitted. Only hosts that the store lists are accepted; a refusal is marked
+/// as not run, so that the sender may ask another host.
+void RelayForwarded(edge_state& host, const http_request& received,
+                    gateway::response_writer& sink,
+                    boost::asio::yield_context yield);
+
 /// Ends every open request because the process stops: one without an answer yet
 /// is answered as failed, a stream is broken off.
 void EndOpenRequests(edge_state& host);
--- a/packages/edge/request_send.cpp
+++ b/packages/edge/request_send.cpp
@@ -37,6 +37,8 @@
 constexpr int kTopUrgency = 2;
 // A connection is refused within a round trip.
 constexpr milliseconds kCrashProbeTimeout{200};
+// Engines that are asked whether this host has lost all of them.
+constexpr std::size_t kWitnesses = 3;
 // A lost SYN is no evidence of a crash.
 constexpr int kMaxProbes = 2;
 // An engine that has written this many events of a stream for this long does
@@ -73,6 +75,23 @@
   return text;
 }
 
+// Whether an engine other than `engine` accepts connections. If none does, the
+// links of this host are at fault.
+bool ReachesAnother(edge_state& host, const endpoint_id& engine,
+                    boost::asio::yield_context yield) {
+  std::vector<std::string> others;
+  for (const auto& [id, state] : host.fleet.engines()) {
+    if (id != engine) others.push_back(state.record.address);
+  }
+  std::shuffle(others.begin(), others.end(), host.random);
+  for (std::size_t i = 0; i < std::min(others.size(), kWitnesses); ++i) {
+    const auto listener =
+        gateway::ProbeListener(host.io, others[i], kCrashProbeTimeout, yield);
+    if (listener == gateway::listener_state::kAccepting) return true;
+  }
+  return others.empty();
+}
+
 bool StatesAnotherType(const http_response& head) {
   constexpr std::string_view kStreamType = "text/event-stream";
   const auto type = head.fields.Find("Content-Type");
@@ -115,6 +134,7 @@
     const auto listener = gateway::ProbeListener(host.io, lost.address,
                                                  kCrashProbeTimeout, yield);
     if (listener != gateway::listener_state::kRefusing) return;
+    if (!ReachesAnother(host, lost.engine, yield)) return;
     host.crashes.RecordCrash(lost.fingerprint);
     host.parts.OnCrash(lost.parts, lost.engine, lost.sent_at, lost.lost_at);
     host.log.Write("engine_crashed", {{"engine", lost.engine.value()},
@@ -223,6 +243,7 @@
 
 engine_answer relayed_request::ReadAnswer(const endpoint_id& id,
                                           const http_response& head) {
+  if (!forwarding_to_.value().empty()) return ReadForwardedAnswer(head);
   auto answer = host_.dialect.ReadAnswer(head, caller_.id);
   const bool ran = answer.matches_request && !answer.not_run &&
                    head.status >= 200 && head.status < 300;
@@ -250,15 +271,18 @@
   call.time_left = TimeLeft() - kDeadlineMargin;
   if (is_model_) call.urgency = Urgency();
   call.last_event = last_event_;
-  const auto request = host_.dialect.EngineRequest(received_, call);
+  const bool forwards = !forwarding_to_.value().empty();
+  const auto request = forwards ? ForwardedRequest(call)
+                                : host_.dialect.EngineRequest(received_, call);
   if (BeginsStream()) RecordStart();
   if (!connection.Send(request, TimeLeft(), yield_, true))
     return OnConnectionLost();
-  const auto limit = AnswerTimeout(typical_answer_s);
+  const auto limit = forwards ? std::max(TimeLeft(), milliseconds(1))
+                              : AnswerTimeout(typical_answer_s);
   auto head = connection.ReadHead(limit, yield_);
   if (!head) {
     last_detail_ = head.error().detail;
-    if (!IsInterrupted()) host_.reach.OnNoAnswer();
+    if (!IsInterrupted() && !forwards) host_.reach.OnNoAnswer();
     return OnConnectionLost();
   }
   auto answer_info = ReadAnswer(id, *head);
@@ -390,7 +414,7 @@
                                                   ? " inside an event"
                                                   : " between events"));
     }
-    host_.reach.OnContact();
+    if (forwarding_to_.value().empty()) host_.reach.OnContact();
     if (part->empty()) break;
     const auto scanned = pending.size();
     pending += *part;
@@ -404,7 +428,7 @@
         return break_off("the start of the stream was not stored");
       }
       RecordFirstAnswer();
-      began_at_ = engine_software_;
+      if (forwarding_to_.value().empty()) began_at_ = engine_software_;
       sink_.StartStream({head.status, host_.dialect.CallerFields(head), {}},
                         yield_);
     }
@@ -501,6 +525,7 @@
   host_.log.Write("send_end",
                   {{"request", caller_.id.value()},
                    {"engine", engine.value()},
+                   {"forwarded_to", forwarding_to_.value()},
                    {"software", engine_software_.value()},
                    {"outcome", ToString(result)},
                    {"reused", reused_ ? "yes" : "no"},
--- a/packages/edge/tests/edge_settings_test.cpp
+++ b/packages/edge/tests/edge_settings_test.cpp
@@ -15,7 +15,7 @@
   std::ofstream(path) << "[host]\nid = a\nzone = z\ncores = 0.09\n"
                          "[listen]\ncallers = 10.0.0.1:1\nready = 10.0.0.1:2\n"
                          "directory = 10.0.0.1:3\nmetrics = 10.0.0.1:4\n"
-                         "digests = 10.0.0.1:4\n"
+                         "digests = 10.0.0.1:4\nforwards = 10.0.0.1:5\n"
                          "[store]\naddress = 10.0.0.2:5\n[bounds]\n"
                       << bounds;
   auto loaded = edge_settings::Load(path);
--- a/packages/gateway/http_server.cpp
+++ b/packages/gateway/http_server.cpp
@@ -320,7 +320,10 @@
 
     const bool keep_alive =
         parser->get().keep_alive() && !state_->close_after_responses;
-    const http_request request = ToRequest(parser->release());
+    http_request request = ToRequest(parser->release());
+    io_error unknown;
+    const auto remote = stream_.socket().remote_endpoint(unknown);
+    if (!unknown) request.remote_host = remote.address().to_string();
     parser.reset();
     return Handle(request, keep_alive, yield);
   }
--- a/packages/gateway/http_types.h
+++ b/packages/gateway/http_types.h
@@ -33,6 +33,8 @@
   std::string query;
   http_fields fields;
   std::string body;
+  /// IPv4 address of the sender; set by `http_server`.
+  std::string remote_host;
 };
 
 struct http_response {
--- a/packages/serving/host_digest.cpp
+++ b/packages/serving/host_digest.cpp
@@ -35,6 +35,7 @@
 void EncodeState(const host_digest& digest, json& out) {
   out["zone"] = digest.zone.value();
   out["front"] = digest.front_address;
+  out["fwd"] = digest.forward_address;
   out["cap"] = digest.capacity;
   out["up"] = digest.uptime_ms;
   out["n"] = digest.number;
@@ -168,6 +169,7 @@
 void DecodeState(const json& in, host_digest& digest) {
   digest.zone = zone_id(in.at("zone").get<std::string>());
   digest.front_address = in.at("front").get<std::string>();
+  digest.forward_address = in.value("fwd", "");
   digest.capacity = in.at("cap").get<int>();
   digest.uptime_ms = in.at("up").get<std::int64_t>();
   digest.number = in.at("n").get<std::uint64_t>();
--- a/packages/serving/host_digest.h
+++ b/packages/serving/host_digest.h
@@ -40,6 +40,8 @@
   zone_id zone;
   /// Address for callers, `IPv4:port`.
   std::string front_address;
+  /// Address for requests of hosts that reach no engine, `IPv4:port`.
+  std::string forward_address;
   std::int64_t uptime_ms = 0;
   /// Sequence number within one incarnation; older digests are dropped.
   std::uint64_t number = 0;
--- a/packages/serving/host_directory.cpp
+++ b/packages/serving/host_directory.cpp
@@ -68,7 +68,7 @@
   for (const auto& [id, peer] : peers_) {
     const auto& digest = peer.newest;
     const bool may_serve =
-        digest.serving ||
+        (digest.serving && !digest.engines_lost) ||
         std::chrono::milliseconds(digest.uptime_ms) < kStartupPeriod;
     if (digest.zone == zone_ && may_serve && !digest.leaving &&
         now - peer.heard <= kRoleTimeout) {
@@ -120,19 +120,25 @@
   return targets;
 }
 
-std::vector<std::string> host_directory::Addresses(const zone_id& zone,
-                                                   bool self_is_serving) const {
+std::vector<std::string> host_directory::Addresses(
+    const zone_id& zone, bool self_is_serving,
+    bool self_reaches_engines) const {
+  const bool some_reach = self_reaches_engines || !PeersInContact().empty();
   std::vector<std::string> preferred;
   std::vector<std::string> others;
-  const auto add = [&](const zone_id& host_zone, bool is_active,
+  const auto add = [&](const zone_id& host_zone, bool is_active, bool reaches,
                        const std::string& address) {
+    if (some_reach && !reaches) return;
     (host_zone == zone && is_active ? preferred : others).push_back(address);
   };
-  if (self_is_serving) add(zone_, active_, front_address_);
+  if (self_is_serving) {
+    add(zone_, active_, self_reaches_engines, front_address_);
+  }
   for (const auto& [id, peer] : peers_) {
     const auto& digest = peer.newest;
     if (digest.serving && !digest.leaving && HeardInTime(peer)) {
-      add(digest.zone, digest.active, digest.front_address);
+      add(digest.zone, digest.active, !digest.engines_lost,
+          digest.front_address);
     }
   }
   if (preferred.size() < kMinZoneAddresses) {
@@ -168,11 +174,21 @@
   return holder;
 }
 
-int host_directory::PeersInContact() const {
-  return static_cast<int>(
-      std::count_if(peers_.begin(), peers_.end(), [this](const auto& entry) {
-        return IsLive(entry.second) && entry.second.newest.has_engine_contact;
-      }));
+std::vector<const host_directory::peer*> host_directory::PeersInContact()
+    const {
+  std::vector<const peer*> reaching;
+  for (const auto& [id, peer] : peers_) {
+    if (IsLive(peer) && peer.newest.has_engine_contact) {
+      reaching.push_back(&peer);
+    }
+  }
+  return reaching;
+}
+
+bool host_directory::IsListed(const std::string& ip) const {
+  return std::any_of(listed_.begin(), listed_.end(), [&ip](const auto& entry) {
+    return entry.second.digest_address.compare(0, ip.size() + 1, ip + ":") == 0;
+  });
 }
 
 bool host_directory::IsLive(const peer& other) const {
--- a/packages/serving/host_directory.h
+++ b/packages/serving/host_directory.h
@@ -66,10 +66,11 @@
 
   /// Addresses for a caller in `zone`: the active hosts of that zone, or all
   /// known hosts if these are fewer than `kMinZoneAddresses`. Includes this
-  /// host if `self_is_serving` and it is active or too few others are known. At
-  /// most `kMaxAddresses`, those of the zone first.
-  std::vector<std::string> Addresses(const zone_id& zone,
-                                     bool self_is_serving) const;
+  /// host if `self_is_serving` and it is active or too few others are known.
+  /// Hosts that reach no engine are left out while others do. At most
+  /// `kMaxAddresses`, those of the zone first.
+  std::vector<std::string> Addresses(const zone_id& zone, bool self_is_serving,
+                                     bool self_reaches_engines = true) const;
 
   /// Number of hosts that may use a share of a fleet-wide limit: this one and
   /// the engaged ones that sent a digest within `kCountTimeout`; after the
@@ -81,8 +82,10 @@
   /// How much later than the quickest digests of its sender `digest` is
   /// handled: ages in it have grown by that much. Zero for the first one.
   clock::duration Lateness(const host_digest& digest);
-  /// Number of live hosts that reach engines.
-  int PeersInContact() const;
+  /// Live hosts that reach engines.
+  std::vector<const peer*> PeersInContact() const;
+  /// Whether the store lists a host at this IPv4 address.
+  bool IsListed(const std::string& ip) const;
   /// The live host that most recently reported to hold the placement lease;
   /// null if none.
   const peer* LeaseHolder() const;
--- a/packages/serving/placement_lease.h
+++ b/packages/serving/placement_lease.h
@@ -67,6 +67,8 @@
                  clock::time_point sent);
   /// Stops acting; `NextWrite` then releases the lease once.
   void Resign() { resigned_ = true; }
+  /// May hold the lease again after `Resign`.
+  void Return() { resigned_ = false; }
 
   /// Whether this host may send an order now. Must be checked after every wait.
   bool MayAct() const;
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -612,7 +612,7 @@
         self.soak, self.number = soak, number
         self.key = ("host", number)
         self.front = base
-        self.ports = range(base, base + 5)
+        self.ports = range(base, base + 6)
         self.launch = None
         self.log = os.path.join(soak.folder, f"host-{number}.log")
 
@@ -632,6 +632,7 @@
 directory = {ports[2]}
 metrics = {ports[3]}
 digests = {ports[4]}
+forwards = {ports[5]}
 [store]
 address = 127.0.0.1:{self.store.port}
 [bounds]
@@ -1356,7 +1357,7 @@
         for engine in self.engines:
             await engine.start()
         self.write_config()
-        self.hosts = [Host(self, number, base + 5 * number)
+        self.hosts = [Host(self, number, base + 6 * number)
                       for number in range(self.host_count)]
         for host in self.hosts:
             await host.start()
@@ -1435,7 +1436,7 @@
         folder = tempfile.mkdtemp(prefix=f"soak-{seed}-", dir=options.keep)
         soak = Soak(seed, options, folder)
         try:
-            base = options.port + seed % 50 * 5 * options.hosts
+            base = options.port + seed % 50 * 6 * options.hosts
             asyncio.run(soak.run(free_block(base, options.hosts)))
         finally:
             for process in LAUNCHED:
