--- a/packages/daemon/tests/hosted_stop_test.cpp
+++ b/packages/daemon/tests/hosted_stop_test.cpp
@@ -26,6 +26,7 @@
                       << "\ndirectory = " << AllocateAddress()
                       << "\nmetrics = " << AllocateAddress()
                       << "\ndigests = " << AllocateAddress()
+                      << "\nforwards = " << AllocateAddress()
                       << "\n[store]\naddress = " << AllocateAddress()
                       << "\n[bounds]\nkey_withdrawal_ms = 5000\n"
                          "stop_grace_s = 4\nplacement_pause_ms = 3000\n"
