--- a/packages/edge/engine_records.cpp
+++ b/packages/edge/engine_records.cpp
@@ -3,6 +3,23 @@
 #include <utility>
 
 namespace bluebell::edge {
+namespace {
+
+// Number of engines of each service and version.
+std::string SoftwareText(const std::vector<serving::engine_record>& records) {
+  std::map<std::string, int> counts;
+  for (const auto& record : records) {
+    ++counts[record.service.value() + " " + record.software.value()];
+  }
+  std::string text;
+  for (const auto& [version, count] : counts) {
+    if (!text.empty()) text += ", ";
+    text += version + ": " + std::to_string(count);
+  }
+  return text;
+}
+
+}  // namespace
 
 void engine_records::Apply(
     const serving::store_version& version,
@@ -35,11 +52,9 @@
   auto records = view_.Records();
   std::map<endpoint_id, bool> leaving;
   std::map<endpoint_id, software_version> software;
-  std::map<std::string, int> versions;
   for (const auto& record : records) {
     leaving[record.id] = record.leaving;
     software[record.id] = record.software;
-    ++versions[record.service.value() + " " + record.software.value()];
   }
   const auto log = [&](const endpoint_id& engine, const char* state) {
     log_.Write("engine_state",
@@ -52,13 +67,8 @@
   // A line for each of thousands of engines would displace others.
   const bool first = leaving_.empty();
   if (first) {
-    std::string text;
-    for (const auto& [version, count] : versions) {
-      if (!text.empty()) text += ", ";
-      text += version + ": " + std::to_string(count);
-    }
     log_.Write("engines_listed", {{"engines", std::to_string(leaving.size())},
-                                  {"software", text},
+                                  {"software", SoftwareText(records)},
                                   {"source", source}});
   }
   for (const auto& [engine, leaves] : leaving) {
--- a/packages/serving/stream_versions.cpp
+++ b/packages/serving/stream_versions.cpp
@@ -259,14 +259,7 @@
   if (stored_here_ == batch_.starts.size()) return std::nullopt;
   const bool is_old = clock_.now() - batch_opened_ > kMaxBatchAge;
   if (stored_here_ > 0 && (is_old || stored_here_ >= kMaxBatch)) {
-    closed_.emplace_back(clock_.now(), batch_.name);
-    batch_.starts.erase(
-        batch_.starts.begin(),
-        batch_.starts.begin() + static_cast<std::ptrdiff_t>(stored_here_));
-    batch_.name = NewBatchName();
-    batch_.revision = 0;
-    batch_opened_ = clock_.now();
-    stored_here_ = 0;
+    OpenNextBatch();
   }
   writing_ = batch_.starts.size();
   return batch_;
@@ -283,6 +276,10 @@
 // stored goes into a new one.
 void stream_versions::OnBatchFailed() {
   failed_at_ = clock_.now();
+  OpenNextBatch();
+}
+
+void stream_versions::OpenNextBatch() {
   closed_.emplace_back(clock_.now(), batch_.name);
   batch_.starts.erase(
       batch_.starts.begin(),
--- a/packages/serving/stream_versions.h
+++ b/packages/serving/stream_versions.h
@@ -150,6 +150,8 @@
                                          const service_state& state) const;
   void ForgetOld();
   std::string NewBatchName();
+  // Closes the batch; starts that are not stored move to a new one.
+  void OpenNextBatch();
 
   const clock& clock_;
   std::string owner_;
