review: a request that crashes engines is let through again after a minute

Cause: the crash counts of a request expire 60 s after its last crash; three more crashes are then allowed, and more if it comes at two hosts at once.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -7,12 +7,14 @@
 sys.path.insert(0, os.path.dirname(CASE))
 import lab  # noqa: E402
 
-HOSTS, ENGINES = 3, 5
+HOSTS, ENGINES = 3, 6
+# Machines at which the crashing request comes in each round.
+MACHINES = 2
 # How often the crashing request comes, and how long an engine is away.
-ROUND_S, AWAY_S = 3.0, 2.0
+ROUND_S, AWAY_S = 3.5, 2.0
 # Three heartbeats of silence.
 LAPSE_S = 3.6
-LENGTH_S = 88
+LENGTH_S = 86
 # BUDGET: retries later than `CONTACT_S` after the third crash.
 ALLOWED = 3
 CRASHING = b"the order that crashes"
@@ -55,15 +57,11 @@
         await asyncio.sleep(0.05)
 
 
-async def repeat(play, number):
-    """One round: the nearest host first, the next one if it refuses."""
-    for host in play.hosts:
-        attempt = f"crashing-{number}-{host.name}"
-        answer = await lab.Connection(host.front).send(
-            "POST", "/orders/1", lab.caller_fields(attempt), CRASHING)
-        play.note(f"{attempt} {answer.status}")
-        if answer.status != 503:
-            return
+async def repeat(play, number, host):
+    attempt = f"crashing-{number}-{host.name}"
+    answer = await lab.Connection(host.front).send(
+        "POST", "/orders/1", lab.caller_fields(attempt), CRASHING)
+    play.note(f"{attempt} {answer.status}")
 
 
 async def run(play):
@@ -81,7 +79,8 @@
     begun, number = lab.now(), 0
     while lab.now() - begun < LENGTH_S:
         number += 1
-        await repeat(play, number)
+        await asyncio.gather(*(repeat(play, number, host)
+                               for host in play.hosts[:MACHINES]))
         await asyncio.sleep(max(0.0, begun + number * ROUND_S - lab.now()))
     if play.own_ends:
         raise RuntimeError("a host ended by itself")
--- a/review/lab.py
+++ b/review/lab.py
@@ -9,6 +9,7 @@
 import random
 import re
 import shutil
+import signal
 import socket
 import subprocess
 import sys
@@ -346,7 +347,15 @@
 
 def main(case, work):
     """Plays the case in folder `case`, and ends with its exit status."""
-    status = Lab(case).play(work)
+    play = Lab(case)
+
+    def end(*_):
+        for host in play.hosts:
+            host.process.kill()
+        os._exit(NOT_RUN)
+
+    signal.signal(signal.SIGTERM, end)
+    status = play.play(work)
     sys.stdout.flush()
     # Tasks of connections that just ended need no further turn.
     os._exit(status)
@@ -558,6 +567,8 @@
             return 202
         if adapter not in held:
             return 200
+        if (name, adapter) in self.leaving_adapters:
+            return 409
         self.seq += 1
         if self.in_use.get((name, adapter), 0) == 0:
             held.discard(adapter)
@@ -591,16 +602,17 @@
     async def run(self, attempt, fields, body, common, reader, writer):
         name, _, adapter = fields.get("x-model", "").partition("/")
         held = self.models.get(name)
-        if held is None or (adapter and adapter not in held) or \
-                (name, adapter) in self.leaving_adapters:
+        key = (name, adapter)
+        concerned = key in self.leaving_adapters or key in self.pending
+        if held is None or (adapter and adapter not in held
+                            and not concerned):
             writer.write(message("HTTP/1.1 421 Absent",
                                  {**common, "X-Not-Executed": "1"}))
             return True
-        if self.running >= self.slots:
+        if self.running >= self.slots or concerned:
             writer.write(message("HTTP/1.1 503 Full",
                                  {**common, "X-Not-Executed": "1"}))
             return True
-        key = (name, adapter)
         self.running += 1
         self.in_use[key] = self.in_use.get(key, 0) + 1
         try:
