--- a/review/6/case.py
+++ b/review/6/case.py
@@ -8,7 +8,7 @@
 sys.path.insert(0, os.path.dirname(CASE))
 import lab  # noqa: E402
 
-HOSTS, ENGINES_PER_VERSION, CALLERS = 3, 2, 12
+HOSTS, ENGINES_PER_VERSION, CALLERS = 3, 2, 20
 # How long the store is away, how old its copy is, and when the operator and
 # the engines have written again what they wrote since.
 AWAY_S, COPY_S, REWRITE_S = 1.0, 9.0, 0.5
