stream_versions: do not take a lost start for the base version

Cause: a start that the store does not hold was taken to be at the base version. A store that comes back from an older copy has lost starts, and the host that could store them again had been killed. Ruled out: starts that were never stored (with the same outage and no restoration, no stream is joined) and a lost table (hosts keep and rewrite it).

Change: for 70 s after a restoration a start that is not found is unknown, and the take-up is refused as not run. Tables name the newest complete era, so that a host that starts later knows too. While a service has several versions, hosts report starts to four others and ask all for what they do not find, so that few streams are refused. One log line per take-up.

--- a/packages/edge/digest_exchange.cpp
+++ b/packages/edge/digest_exchange.cpp
@@ -52,6 +52,8 @@
 constexpr char kSyncResponseTag = 'A';
 constexpr char kPermitRequestTag = 'P';
 constexpr char kPermitResponseTag = 'G';
+constexpr char kStartReportTag = 'S';
+constexpr char kStartQueryTag = 'W';
 // A permit owner answers within a round trip of a few milliseconds.
 constexpr milliseconds kPermitTimeout{100};
 // A lost adapter request is sent again by the requests waiting for the adapter.
@@ -60,7 +62,7 @@
 }  // namespace
 
 result<std::unique_ptr<digest_exchange>> digest_exchange::Create(
-    edge_state& host, store_sync& sync) {
+    edge_state& host, store_sync& sync, start_exchange& starts) {
   const auto address = ParseAddress(host.settings.digest_listen);
   if (!address) return tl::unexpected(address.error());
   udp::socket socket(host.io);
@@ -74,15 +76,21 @@
                 host.settings.digest_listen + ": " + ec.message());
   }
   return std::unique_ptr<digest_exchange>(
-      new digest_exchange(host, sync, std::move(socket)));
+      new digest_exchange(host, sync, starts, std::move(socket)));
 }
 
 digest_exchange::digest_exchange(edge_state& host, store_sync& sync,
-                                 udp::socket socket)
-    : host_(host), sync_(sync), socket_(std::move(socket)) {
+                                 start_exchange& starts, udp::socket socket)
+    : host_(host), sync_(sync), starts_(starts), socket_(std::move(socket)) {
   sync_.send_request = [this](const auto& address, const auto& bytes) {
     SendTo(address, kSyncRequestTag, bytes);
   };
+  starts_.send_report = [this](const auto& address, const auto& bytes) {
+    SendTo(address, kStartReportTag, bytes);
+  };
+  starts_.send_query = [this](const auto& address, const auto& bytes) {
+    SendTo(address, kStartQueryTag, bytes);
+  };
 }
 
 void digest_exchange::RunReceive(asio::yield_context yield) {
@@ -117,6 +125,12 @@
       case kPermitResponseTag:
         HandlePermitResponse(bytes);
         break;
+      case kStartReportTag:
+        starts_.HandleReport(bytes, sender);
+        break;
+      case kStartQueryTag:
+        starts_.HandleQuery(bytes, sender);
+        break;
       default:
         host_.metrics.Count("datagram_unknown");
     }
--- a/packages/edge/digest_exchange.h
+++ b/packages/edge/digest_exchange.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "edge/edge_state.h"
+#include "edge/start_exchange.h"
 #include "edge/store_sync.h"
 #include "serving/host_digest.h"
 
@@ -24,8 +25,8 @@
 /// engaged hosts.
 class digest_exchange {
  public:
-  static result<std::unique_ptr<digest_exchange>> Create(edge_state& host,
-                                                         store_sync& sync);
+  static result<std::unique_ptr<digest_exchange>> Create(
+      edge_state& host, store_sync& sync, start_exchange& starts);
 
   /// Receives datagrams until the process ends.
   void RunReceive(boost::asio::yield_context yield);
@@ -59,7 +60,7 @@
   }
 
  private:
-  digest_exchange(edge_state& host, store_sync& sync,
+  digest_exchange(edge_state& host, store_sync& sync, start_exchange& starts,
                   boost::asio::ip::udp::socket socket);
 
   serving::host_digest BuildDigest();
@@ -78,6 +79,7 @@
 
   edge_state& host_;
   store_sync& sync_;
+  start_exchange& starts_;
   boost::asio::ip::udp::socket socket_;
   std::array<char, 65536> received_;
   std::uint64_t sequence_ = 0;
--- a/packages/edge/edge_host.cpp
+++ b/packages/edge/edge_host.cpp
@@ -12,6 +12,7 @@
 #include "edge/placement_runner.h"
 #include "edge/quarantine_sync.h"
 #include "edge/request_relay.h"
+#include "edge/start_exchange.h"
 #include "edge/store_sync.h"
 #include "edge/version_sync.h"
 #include "gateway/http_server.h"
@@ -129,6 +130,7 @@
         sync(state),
         quarantine(state),
         versions(state),
+        starts(state),
         prober(state) {}
 
   std::size_t OpenRequests() const {
@@ -139,6 +141,7 @@
   store_sync sync;
   quarantine_sync quarantine;
   version_sync versions;
+  start_exchange starts;
   engine_prober prober;
   std::unique_ptr<digest_exchange> exchange;
   std::unique_ptr<placement_runner> placement;
@@ -160,7 +163,8 @@
   auto created =
       std::make_unique<impl>(context, source, settings, dialect, store);
   auto* host = created.get();
-  auto exchange = digest_exchange::Create(host->state, host->sync);
+  auto exchange =
+      digest_exchange::Create(host->state, host->sync, host->starts);
   if (!exchange) return tl::unexpected(exchange.error());
   host->exchange = std::move(*exchange);
   host->placement =
@@ -172,6 +176,9 @@
   host->state.ask_permit = [host](const endpoint_id& engine, auto yield) {
     return host->exchange->AskPermit(engine, yield);
   };
+  host->state.ask_start = [host](const request_id& attempt) {
+    host->starts.Ask(attempt);
+  };
 
   std::optional<error> failed;
   const auto listen = [&](const std::string& address,
@@ -259,6 +266,7 @@
                      [host](auto yield) { host->versions.RunTables(yield); });
   gateway::SpawnTask(context,
                      [host](auto yield) { host->versions.RunStarts(yield); });
+  gateway::SpawnTask(context, [host](auto yield) { host->starts.Run(yield); });
   gateway::SpawnTask(context, [host](auto yield) { host->prober.Run(yield); });
   gateway::SpawnTask(context, [host](auto yield) {
     LogChanges(host->state, host->quarantine, yield);
--- a/packages/edge/edge_state.h
+++ b/packages/edge/edge_state.h
@@ -117,6 +117,9 @@
                                      boost::asio::yield_context)>
       ask_permit;
 
+  /// Asks the other hosts where the stream of an attempt began.
+  std::function<void(const request_id&)> ask_start;
+
   change_signal changed;
   /// Something in `versions` has changed or is asked for.
   change_signal versions_changed;
--- a/packages/edge/relayed_request.h
+++ b/packages/edge/relayed_request.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/spawn.hpp>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
@@ -73,6 +74,13 @@
   // Finds the software version that began the stream that the caller takes up.
   // Returns false if the request was refused.
   bool FindStreamVersion();
+  // Waits for a listing of stream versions that begins now.
+  bool AwaitVersionListing();
+  // Asks the other hosts where the stream of `attempt` began.
+  std::optional<serving::found_version> AwaitStartReport(
+      const request_id& attempt);
+  // Waits for a change of the stream versions until `done`.
+  void AwaitVersions(milliseconds limit, const std::function<bool()>& done);
   // Hash that identifies repetitions of the same request.
   std::string Fingerprint() const;
   // Records that the engine has survived writing the answer.
--- a/packages/edge/request_relay.cpp
+++ b/packages/edge/request_relay.cpp
@@ -35,6 +35,8 @@
 // Covers one listing of the store that is answered late, and one retry.
 constexpr milliseconds kMaxVersionWait{1000};
 constexpr std::size_t kMaxStreamKeyBytes = 64;
+// Covers the interval of queries and a response that is lost once.
+constexpr milliseconds kMaxReportWait{400};
 // Hosts that test quarantined prompt parts for all; more would crash several
 // engines at once.
 constexpr int kTestingHosts = 2;
@@ -145,26 +147,50 @@
 
 bool relayed_request::FindStreamVersion() {
   const auto attempt = StreamKey(caller_.resumes);
-  auto version = host_.versions.BegunHere(attempt);
-  if (!version) {
-    const auto ticket = host_.versions.RequestListing();
-    host_.versions_changed.Notify();
-    const auto wait_until =
-        received_at_ +
-        std::min<clock::duration>(kMaxVersionWait, deadline_ - received_at_);
-    while (!host_.versions.HasListing(ticket) && !sink_.caller_disconnected() &&
-           host_.time.now() < wait_until) {
-      host_.versions_changed.Wait(wait_until - host_.time.now(), yield_);
-    }
-    if (host_.versions.HasListing(ticket)) {
-      version = host_.versions.VersionOf(requirements_.service, attempt);
-    }
+  auto found = host_.versions.Known(attempt);
+  if (!found && AwaitVersionListing()) {
+    found = host_.versions.VersionOf(requirements_.service, attempt);
   }
-  if (!version) return Refuse(503, "version_unknown", RetryDelay());
-  began_at_ = *version;
+  if (!found) found = AwaitStartReport(attempt);
+  host_.log.Write(
+      "stream_taken_up",
+      {{"request", caller_.id.value()},
+       {"began_as", caller_.resumes.value()},
+       {"software", found ? found->software.value() : ""},
+       {"source", found ? ToString(found->source) : "unknown"},
+       {"listing", host_.versions.Describe(requirements_.service)}});
+  if (!found) return Refuse(503, "version_unknown", RetryDelay());
+  began_at_ = found->software;
   return true;
 }
 
+bool relayed_request::AwaitVersionListing() {
+  const auto ticket = host_.versions.RequestListing();
+  host_.versions_changed.Notify();
+  AwaitVersions(kMaxVersionWait,
+                [&] { return host_.versions.HasListing(ticket); });
+  return host_.versions.HasListing(ticket);
+}
+
+std::optional<serving::found_version> relayed_request::AwaitStartReport(
+    const request_id& attempt) {
+  if (attempt.value().empty() || !host_.ask_start) return std::nullopt;
+  host_.ask_start(attempt);
+  AwaitVersions(kMaxReportWait,
+                [&] { return host_.versions.Known(attempt).has_value(); });
+  return host_.versions.Known(attempt);
+}
+
+void relayed_request::AwaitVersions(milliseconds limit,
+                                    const std::function<bool()>& done) {
+  const auto wait_until =
+      std::min<clock::time_point>(host_.time.now() + limit, deadline_);
+  while (!done() && !sink_.caller_disconnected() &&
+         host_.time.now() < wait_until) {
+    host_.versions_changed.Wait(wait_until - host_.time.now(), yield_);
+  }
+}
+
 std::string relayed_request::Fingerprint() const {
   std::string text =
       received_.method + ' ' + received_.path + '?' + received_.query + '\n' +
--- a/packages/serving/host_directory.cpp
+++ b/packages/serving/host_directory.cpp
@@ -247,6 +247,21 @@
   return owner;
 }
 
+std::vector<std::string> host_directory::StartKeepers(std::size_t count) const {
+  const auto own = XXH64(self_.value().data(), self_.value().size(), 0);
+  std::vector<std::pair<std::uint64_t, std::string>> live;
+  for (const auto& [id, peer] : peers_) {
+    if (!IsLive(peer)) continue;
+    live.emplace_back(XXH64(id.value().data(), id.value().size(), own),
+                      peer.digest_address);
+  }
+  std::sort(live.begin(), live.end());
+  if (live.size() > count) live.resize(count);
+  std::vector<std::string> addresses;
+  for (auto& [hash, address] : live) addresses.push_back(std::move(address));
+  return addresses;
+}
+
 double host_directory::LiveFraction() const {
   int live = 1;
   int known = 1;
--- a/packages/serving/host_directory.h
+++ b/packages/serving/host_directory.h
@@ -99,6 +99,9 @@
   /// first of that ranking. Null if it is this host; `self_may_own`: whether it
   /// is in the ranking.
   const peer* PermitOwner(std::uint64_t engine, bool self_may_own) const;
+  /// Digest addresses of up to `count` live hosts that keep this one's starts
+  /// of streams. Few of them change when other hosts come or go.
+  std::vector<std::string> StartKeepers(std::size_t count) const;
   /// Live fraction of the hosts that may use a share of a fleet-wide limit.
   double LiveFraction() const;
   /// Hosts whose digests are due but did not arrive for `kSilenceTimeout`, each
--- a/packages/serving/stream_versions.cpp
+++ b/packages/serving/stream_versions.cpp
@@ -22,10 +22,29 @@
 constexpr std::chrono::seconds kCleaningInterval{20};
 // Covers the differences between the hosts' listings.
 constexpr std::chrono::seconds kExpiryMargin{10};
-constexpr std::size_t kMaxOwnStarts = 50'000;
+constexpr std::size_t kMaxRecentStarts = 50'000;
+// Reporting begins when a service gets a second version; streams that began
+// earlier than this have mostly ended by then.
+constexpr std::chrono::seconds kReportedAge{15};
+// Engines that the restored store lacks are listed again within two seconds.
+constexpr std::chrono::seconds kRelistingTime{3};
 
 }  // namespace
 
+const char* ToString(version_source source) {
+  switch (source) {
+    case version_source::kHere:
+      return "here";
+    case version_source::kPeer:
+      return "peer";
+    case version_source::kStore:
+      return "store";
+    case version_source::kBase:
+      return "base";
+  }
+  return "";
+}
+
 void stream_versions::SetServices(std::set<service_id> services) {
   resumable_ = std::move(services);
 }
@@ -49,9 +68,17 @@
     if (gap || !state.table || state.listed.count(state.table->base) == 0) {
       state.confirmed = false;
     }
+    if (gap || !state.table || ListsAnother(state.listed, state.table->base)) {
+      state.only_base = false;
+    }
   }
 }
 
+bool stream_versions::ListsAnother(const std::set<software_version>& listed,
+                                   const software_version& software) {
+  return listed.size() > listed.count(software);
+}
+
 bool stream_versions::IsCurrent() const {
   return as_of_ && clock_.now() - *as_of_ <= kMaxGap;
 }
@@ -93,36 +120,109 @@
 }
 
 void stream_versions::OnBegun(const stream_start& start) {
-  ForgetOld();
-  own_[start.attempt] = start.software;
-  own_order_.emplace_back(clock_.now(), start.attempt);
+  Add(own_, start);
+  unreported_.emplace_back(clock_.now(), start);
+  while (unreported_.size() > kMaxRecentStarts ||
+         clock_.now() - unreported_.front().first > kReportedAge) {
+    unreported_.pop_front();
+  }
 }
 
-void stream_versions::ForgetOld() {
-  while (!own_order_.empty() &&
-         (own_order_.size() > kMaxOwnStarts ||
-          clock_.now() - own_order_.front().first > kStreamLifetime)) {
-    own_.erase(own_order_.front().second);
-    own_order_.pop_front();
+void stream_versions::Add(recent_starts& starts,
+                          const stream_start& start) const {
+  DropExpired(starts);
+  if (starts.order.size() >= kMaxRecentStarts) {
+    starts.by_attempt.erase(starts.order.front().second);
+    starts.order.pop_front();
   }
+  starts.by_attempt[start.attempt] = start.software;
+  starts.order.emplace_back(clock_.now(), start.attempt);
 }
 
-std::optional<software_version> stream_versions::BegunHere(
+void stream_versions::DropExpired(recent_starts& starts) const {
+  while (!starts.order.empty() &&
+         clock_.now() - starts.order.front().first > kStreamLifetime) {
+    starts.by_attempt.erase(starts.order.front().second);
+    starts.order.pop_front();
+  }
+}
+
+bool stream_versions::ReportsStarts() const {
+  return std::any_of(resumable_.begin(), resumable_.end(),
+                     [this](const auto& id) {
+                       const auto found = services_.find(id);
+                       if (found == services_.end() || !found->second.table)
+                         return false;
+                       return found->second.table->several || MayLackStarts(id);
+                     });
+}
+
+std::vector<stream_start> stream_versions::TakeUnreported() {
+  if (unreported_.empty() || !ReportsStarts()) return {};
+  std::vector<stream_start> starts;
+  for (auto& [begun, start] : unreported_) starts.push_back(std::move(start));
+  unreported_.clear();
+  return starts;
+}
+
+void stream_versions::OnReported(const std::vector<stream_start>& starts) {
+  for (const auto& start : starts) Add(reported_, start);
+}
+
+bool stream_versions::MayLackStarts(const service_id& service) const {
+  const auto found = services_.find(service);
+  if (found == services_.end() || !found->second.table) return true;
+  const auto& state = found->second;
+  const auto age = clock_.now() - era_since_;
+  if (age > kStreamLifetime + kExpiryMargin) return false;
+  if (saw_restore_) return !state.only_base || age < kRelistingTime;
+  if (state.table->complete_era) {
+    return *state.table->complete_era < listed_era_;
+  }
+  // An older build wrote the table. The store may have been restored since.
+  return !state.only_base;
+}
+
+std::string stream_versions::Describe(const service_id& service) const {
+  const auto found = services_.find(service);
+  if (found == services_.end() || !found->second.table) return "no table";
+  const auto& table = *found->second.table;
+  return fmt::format(
+      "base {}{}, era {}{}, complete {}{}", table.base.value(),
+      table.several ? " and others" : "", listed_era_,
+      saw_restore_ ? " after another" : "",
+      table.complete_era ? std::to_string(*table.complete_era) : "unknown",
+      MayLackStarts(service) ? ", may lack starts" : "");
+}
+
+std::optional<found_version> stream_versions::Known(
     const request_id& attempt) const {
-  const auto found = own_.find(attempt);
-  if (found == own_.end()) return std::nullopt;
-  return found->second;
+  const auto own = own_.by_attempt.find(attempt);
+  if (own != own_.by_attempt.end()) {
+    return found_version{own->second, version_source::kHere};
+  }
+  const auto reported = reported_.by_attempt.find(attempt);
+  if (reported != reported_.by_attempt.end()) {
+    return found_version{reported->second, version_source::kPeer};
+  }
+  return std::nullopt;
 }
 
-std::optional<software_version> stream_versions::VersionOf(
+std::optional<found_version> stream_versions::VersionOf(
     const service_id& service, const request_id& attempt) const {
+  if (const auto known = Known(attempt)) return known;
   const auto stored = starts_.find(attempt);
-  if (stored != starts_.end()) return stored->second;
-  const auto found = services_.find(service);
-  if (found == services_.end() || !found->second.table) return std::nullopt;
-  const auto& table = *found->second.table;
+  if (stored != starts_.end()) {
+    return found_version{stored->second, version_source::kStore};
+  }
+  const auto earlier = starts_before_restore_.by_attempt.find(attempt);
+  if (earlier != starts_before_restore_.by_attempt.end()) {
+    return found_version{earlier->second, version_source::kStore};
+  }
+  if (MayLackStarts(service)) return std::nullopt;
+  const auto& table = *services_.at(service).table;
   if (attempt.value().empty() && table.several) return std::nullopt;
-  return table.base;
+  return found_version{table.base, version_source::kBase};
 }
 
 bool stream_versions::WantsListing(std::uint64_t store_era, bool cleans) const {
@@ -146,22 +246,37 @@
 void stream_versions::OnListing(const version_listing& listing,
                                 std::uint64_t ticket) {
   const bool restored = listing_ > 0 && listing.era > listed_era_;
+  if (listing_ == 0 || restored) era_since_ = clock_.now();
+  saw_restore_ = saw_restore_ || restored;
+  std::set<service_id> with_only_base;
   for (auto& [service, state] : services_) {
-    if (restored && state.table && state.table->several) {
-      state.before_restore = state.table;
-    }
+    if (restored && state.table) state.before_restore = state.table;
+    if (state.only_base) with_only_base.insert(service);
     state.table.reset();
     state.confirmed = false;
+    state.only_base = false;
   }
   for (const auto& table : listing.tables) {
     auto& state = services_[table.service];
     state.table = table;
     state.confirmed = IsCurrent() && state.listed.count(table.base) > 0;
-    if (state.before_restore && table.several &&
-        table.base == state.before_restore->base) {
+    const bool says_only_base =
+        !table.several && !restored &&
+        table.complete_era.value_or(listing.era) >= listing.era;
+    state.only_base =
+        IsCurrent() && !ListsAnother(state.listed, table.base) &&
+        (says_only_base || with_only_base.count(table.service) > 0);
+    const auto& before = state.before_restore;
+    if (before && table.base == before->base &&
+        (table.several || !before->several)) {
       state.before_restore.reset();
     }
   }
+  if (restored) {
+    for (const auto& [attempt, software] : starts_) {
+      Add(starts_before_restore_, {attempt, software});
+    }
+  }
   starts_.clear();
   std::map<std::string, std::pair<std::uint64_t, clock::time_point>> others;
   for (const auto& batch : listing.batches) {
@@ -178,8 +293,8 @@
   }
   others_ = std::move(others);
   if (restored) {
-    ForgetOld();
-    for (const auto& [attempt, software] : own_) {
+    DropExpired(own_);
+    for (const auto& [attempt, software] : own_.by_attempt) {
       if (starts_.count(attempt) == 0)
         RecordStart({}, {attempt, software}, true);
     }
@@ -213,15 +328,24 @@
     if (state.before_restore) {
       auto table = *state.before_restore;
       table.revision = 0;
+      table.complete_era = table.complete_era.value_or(listed_era_ - 1);
       return table;
     }
     return version_table{service, *state.listed.begin(),
-                         state.listed.size() > 1, 0};
+                         state.listed.size() > 1, 0, listed_era_};
   }
   auto wanted = *state.table;
   if (state.before_restore) {
     wanted.base = state.before_restore->base;
-    wanted.several = true;
+    wanted.several = wanted.several || state.before_restore->several;
+    wanted.complete_era =
+        state.before_restore->complete_era.value_or(listed_era_ - 1);
+  } else if (!MayLackStarts(service)) {
+    wanted.complete_era = listed_era_;
+  } else if (saw_restore_ && !wanted.complete_era) {
+    // A host that starts now must not take the table for that of an older
+    // build.
+    wanted.complete_era = listed_era_ - 1;
   }
   const auto since = clock_.now() - kStreamLifetime - kExpiryMargin;
   const auto others = std::count_if(
@@ -245,8 +369,13 @@
 
 void stream_versions::OnTableWritten(const version_table& table) {
   auto& state = services_[table.service];
+  const bool new_table = !state.table && !state.before_restore;
   state.table = table;
   state.confirmed = IsCurrent() && state.listed.count(table.base) > 0;
+  if (new_table) {
+    state.only_base = IsCurrent() && !table.several &&
+                      !ListsAnother(state.listed, table.base);
+  }
   state.before_restore.reset();
 }
 
--- a/packages/serving/stream_versions.h
+++ b/packages/serving/stream_versions.h
@@ -41,10 +41,14 @@
   bool several = false;
   /// 0: not stored yet.
   std::uint64_t revision = 0;
+  /// Newest era of the store in which it held each start that a caller may
+  /// still need; none if a build that does not record it wrote the table.
+  std::optional<std::uint64_t> complete_era = std::nullopt;
 
   friend bool operator==(const version_table& a, const version_table& b) {
     return a.service == b.service && a.base == b.base &&
-           a.several == b.several && a.revision == b.revision;
+           a.several == b.several && a.revision == b.revision &&
+           a.complete_era == b.complete_era;
   }
 };
 
@@ -55,6 +59,24 @@
   std::vector<start_batch> batches;
 };
 
+/// How the version of a stream was found.
+enum class version_source {
+  /// It began at this host.
+  kHere,
+  /// The host where it began reported it.
+  kPeer,
+  kStore,
+  /// Its start was not stored, which only streams at the base version omit.
+  kBase,
+};
+
+const char* ToString(version_source source);
+
+struct found_version {
+  software_version software;
+  version_source source = version_source::kHere;
+};
+
 /// Decides at which software versions resumable streams may begin and go on.
 /// A stream may only go on at the version that began it, at any host, also
 /// after all hosts were killed.
@@ -68,6 +90,13 @@
 /// The base version changes only after none of its engines was listed for
 /// `kStreamLifetime`; until then starts at all other versions are stored.
 ///
+/// A store that is restored from an older copy loses starts. For
+/// `kStreamLifetime` after that a stream whose start is not stored may have
+/// begun at any version. So hosts report the streams that begin at them to a
+/// few others while a service has several versions, and a stream that none of
+/// them knows is not taken up. Tables name the newest complete era, by which a
+/// host that has started since knows that starts may be missing.
+///
 /// Load pattern: a few streams a second may be resumed. A rollout replaces
 /// engines within seconds; a restart of all hosts brings back most callers at
 /// once, whose listings are shared.
@@ -104,12 +133,24 @@
   /// Asks for a listing that begins after this call; returns its ticket.
   std::uint64_t RequestListing() { return ++wanted_listing_; }
   bool HasListing(std::uint64_t ticket) const { return ticket <= listing_; }
-  /// Version of a stream that began at this host.
-  std::optional<software_version> BegunHere(const request_id& attempt) const;
-  /// Version at which the stream of `attempt` began, by the newest listing;
-  /// none if unknown. An empty attempt stands for any stream of the service.
-  std::optional<software_version> VersionOf(const service_id& service,
-                                            const request_id& attempt) const;
+  /// Version of a stream that began at this host, or that its host reported.
+  std::optional<found_version> Known(const request_id& attempt) const;
+  /// Version at which the stream of `attempt` began, by all that is known and
+  /// the newest listing; none if unknown. An empty attempt stands for any
+  /// stream of the service.
+  std::optional<found_version> VersionOf(const service_id& service,
+                                         const request_id& attempt) const;
+  /// The store was restored, and may lack starts of streams of `service` that
+  /// callers may still take up.
+  bool MayLackStarts(const service_id& service) const;
+  /// What a version of `service` that is not found follows from, for logs.
+  std::string Describe(const service_id& service) const;
+
+  /// Streams that began at this host and were not returned before, for the
+  /// hosts that keep them too. None while no service needs that.
+  std::vector<stream_start> TakeUnreported();
+  /// Another host reports where streams began.
+  void OnReported(const std::vector<stream_start>& starts);
 
   /// Whether the store has to be listed now. `cleans`: this host removes
   /// batches of processes that have ended.
@@ -136,10 +177,22 @@
     std::optional<version_table> table;
     /// The base version was listed all the time since the table was read.
     bool confirmed = false;
+    /// Only the base version was listed since the table said that no stream
+    /// began at another.
+    bool only_base = false;
     /// What the table said before the store was restored from an older copy.
     std::optional<version_table> before_restore;
   };
 
+  /// Starts by attempt, dropped `kStreamLifetime` after they were added.
+  struct recent_starts {
+    std::map<request_id, software_version> by_attempt;
+    std::deque<std::pair<clock::time_point, request_id>> order;
+  };
+
+  // Whether a version other than `software` is listed.
+  static bool ListsAnother(const std::set<software_version>& listed,
+                           const software_version& software);
   bool IsCurrent() const;
   // Whether the versions were observed for `kStreamLifetime` without a gap.
   bool HasHistory() const;
@@ -148,7 +201,10 @@
                              clock::time_point since);
   std::optional<version_table> NextTable(const service_id& service,
                                          const service_state& state) const;
-  void ForgetOld();
+  void Add(recent_starts& starts, const stream_start& start) const;
+  void DropExpired(recent_starts& starts) const;
+  // Whether hosts report starts to each other.
+  bool ReportsStarts() const;
   std::string NewBatchName();
   // Closes the batch; starts that are not stored move to a new one.
   void OpenNextBatch();
@@ -160,9 +216,12 @@
   std::optional<clock::time_point> as_of_;
   clock::time_point observed_since_;
 
-  // Streams that began here, oldest first in `own_order_`.
-  std::map<request_id, software_version> own_;
-  std::deque<std::pair<clock::time_point, request_id>> own_order_;
+  recent_starts own_;
+  // Streams that began here, were not reported, and when they began.
+  std::deque<std::pair<clock::time_point, stream_start>> unreported_;
+  recent_starts reported_;
+  // Starts that the store held before it was restored.
+  recent_starts starts_before_restore_;
 
   // The batch that is being filled; `stored_here_` of its starts are stored.
   start_batch batch_;
@@ -179,6 +238,10 @@
   std::uint64_t wanted_listing_ = 1;
   std::uint64_t listing_ = 0;
   std::uint64_t listed_era_ = 0;
+  // The first listing of that era.
+  clock::time_point era_since_;
+  // This process has listed an earlier era.
+  bool saw_restore_ = false;
   clock::time_point listed_at_;
   std::map<request_id, software_version> starts_;
   // Batches of other processes, and when they were first listed unchanged.
--- a/packages/serving/tests/stream_versions_test.cpp
+++ b/packages/serving/tests/stream_versions_test.cpp
@@ -42,6 +42,14 @@
     return sorted;
   }
 
+  /// Keeps a copy of what is stored, for `Restore`.
+  void Copy() { copy_ = listing; }
+  /// Loses what was stored since the copy was made.
+  void Restore() {
+    copy_.era = listing.era + 1;
+    listing = copy_;
+  }
+
   bool up = true;
   version_listing listing;
 
@@ -69,13 +77,15 @@
 
   std::mt19937_64& random_;
   std::uint64_t revision_ = 0;
+  version_listing copy_;
 };
 
 /// Hosts that see the engines up to two seconds late, begin streams, take them
 /// up, and are killed.
 class fleet_replay {
  public:
-  explicit fleet_replay(std::uint64_t seed) : random_(seed), store_(random_) {
+  explicit fleet_replay(std::uint64_t seed, bool restores = false)
+      : restores_(restores), random_(seed), store_(random_) {
     clock_.Advance(seconds(100));
     listed_.insert(Version(1));
     for (int i = 0; i < 4; ++i) hosts_.push_back(NewHost());
@@ -91,8 +101,10 @@
       if (random_() % 600 == 0) {
         for (auto& host : hosts_) host = NewHost();
       }
+      if (restores_) RestoreStore();
       for (auto& host : hosts_) Step(host);
       for (auto& host : hosts_) Begin(host);
+      for (auto& host : hosts_) Report(host);
       TakeUp();
     }
   }
@@ -135,6 +147,41 @@
     }
   }
 
+  // Every 40 seconds the store is restored from a copy that is 3 to 10 seconds
+  // old; half of the hosts are killed while it is away.
+  void RestoreStore() {
+    const auto phase = steps_++ % 400;
+    if (phase == 0) copied_at_ = 290 + static_cast<int>(Draw(70));
+    if (phase == copied_at_) store_.Copy();
+    if (phase == 380) {
+      store_.up = false;
+      for (auto& host : hosts_) {
+        if (Draw(2) == 0) host = NewHost();
+      }
+    }
+    if (phase == 390) {
+      store_.Restore();
+      store_.up = true;
+    }
+  }
+
+  // Sends the starts of `self` to the others; some datagrams are lost.
+  void Report(host& self) {
+    const auto starts = self.versions->TakeUnreported();
+    for (auto& other : hosts_) {
+      if (&other == &self || random_() % 20 == 0) continue;
+      other.versions->OnReported(starts);
+    }
+  }
+
+  // What any host knows of a stream that `self` does not find.
+  std::optional<found_version> Ask(const request_id& attempt) {
+    for (auto& host : hosts_) {
+      if (const auto known = host.versions->Known(attempt)) return known;
+    }
+    return std::nullopt;
+  }
+
   void Step(host& self) {
     const auto as_of = clock_.now() - self.lag;
     const auto seen =
@@ -142,7 +189,8 @@
                      [&](const auto& entry) { return entry.first <= as_of; });
     if (seen == history_.rend()) return;
     self.versions->OnEngines({{kService, seen->second}}, as_of);
-    if (self.versions->WantsListing(0, false) && store_.Answers()) {
+    if (self.versions->WantsListing(store_.listing.era, false) &&
+        store_.Answers()) {
       self.versions->OnListing(store_.List(), self.versions->wanted_listing());
     }
     if (auto table = self.versions->NextTable()) {
@@ -204,18 +252,22 @@
       if (clock_.now() - stream.at > kLongestTry) continue;
       auto& versions = *hosts_[Draw(hosts_.size())].versions;
       ++taken_up;
-      auto version = versions.BegunHere(stream.start.attempt);
-      if (!version && store_.Answers()) {
+      auto found = versions.Known(stream.start.attempt);
+      if (!found && store_.Answers()) {
         const auto ticket = versions.RequestListing();
         versions.OnListing(store_.List(), ticket);
-        version = versions.VersionOf(kService, stream.start.attempt);
+        found = versions.VersionOf(kService, stream.start.attempt);
       }
-      if (version) ++known;
-      if (version && *version != stream.start.software) ++joined;
+      if (!found) found = Ask(stream.start.attempt);
+      if (found) ++known;
+      if (found && found->software != stream.start.software) ++joined;
     }
   }
 
   manual_clock clock_;
+  bool restores_;
+  int steps_ = 0;
+  int copied_at_ = 0;
   std::mt19937_64 random_;
   fake_store store_;
   std::set<software_version> listed_;
@@ -246,6 +298,22 @@
   EXPECT_GT(known, taken_up / 2);
 }
 
+// Guards against a stream that goes on at another version because the store was
+// restored from an older copy and its host was killed; and against hosts that
+// refuse what one of them knows.
+TEST(stream_versions_replay, StreamsGoOnAtTheirVersionAfterTheStoreIsRestored) {
+  int taken_up = 0;
+  int known = 0;
+  for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+    fleet_replay replay(seed, true);
+    replay.Run(seconds(150));
+    EXPECT_EQ(replay.joined, 0) << "seed " << seed;
+    taken_up += replay.taken_up;
+    known += replay.known;
+  }
+  EXPECT_GT(known, taken_up / 2);
+}
+
 class stream_versions_fixture : public testing::Test {
  protected:
   void List(const std::set<software_version>& versions) {
@@ -340,7 +408,9 @@
   EXPECT_TRUE(host_.IsStored(*ticket));
   host_.OnListing({0, {{kService, Version(1), true, 1}}, {*batch}},
                   host_.RequestListing());
-  EXPECT_EQ(host_.VersionOf(kService, request_id("a")), Version(1));
+  const auto found = host_.VersionOf(kService, request_id("a"));
+  ASSERT_TRUE(found);
+  EXPECT_EQ(found->software, Version(1));
 }
 
 // Guards against starts that are lost when a write is answered late or never.
@@ -359,5 +429,127 @@
   EXPECT_TRUE(host_.IsStored(*ticket));
 }
 
+class restored_versions : public stream_versions_fixture {
+ protected:
+  static version_listing Listing(std::uint64_t era,
+                                 const version_table& table) {
+    return {era, {table}, {}};
+  }
+  std::optional<software_version> Find(const char* attempt) const {
+    const auto found = host_.VersionOf(kService, request_id(attempt));
+    if (!found) return std::nullopt;
+    return found->software;
+  }
+  /// Starts a host that lists `table` in `era`, with the engines of `versions`.
+  void Start(const std::set<software_version>& versions, std::uint64_t era,
+             const version_table& table) {
+    host_.SetServices({kService});
+    List(versions);
+    host_.OnListing(Listing(era, table), host_.wanted_listing());
+  }
+  /// Lets time pass while the engines stay listed.
+  void Pass(int count) {
+    for (int i = 0; i < count; ++i) {
+      clock_.Advance(seconds(1));
+      host_.OnConfirmed(clock_.now());
+    }
+  }
+};
+
+// Guards against a guess about a stream whose start the store may have lost.
+TEST_F(restored_versions, UnknownStreamIsNotTakenForOneOfTheBaseVersion) {
+  const version_table table{kService, Version(1), true, 1, 4};
+  Start({Version(1), Version(2)}, 4, table);
+  EXPECT_EQ(Find("a"), Version(1));
+  host_.OnListing(Listing(5, table), host_.RequestListing());
+  EXPECT_EQ(Find("a"), std::nullopt);
+  Pass(75);
+  EXPECT_EQ(Find("a"), Version(1));
+}
+
+// Guards against the same at a host that has started since.
+TEST_F(restored_versions, HostThatStartedSinceTakesUpNoUnknownStream) {
+  const version_table table{kService, Version(1), true, 1, 4};
+  Start({Version(1), Version(2)}, 5, table);
+  EXPECT_EQ(Find("a"), std::nullopt);
+  EXPECT_FALSE(host_.NextTable());
+  Pass(75);
+  const auto complete = host_.NextTable();
+  ASSERT_TRUE(complete);
+  EXPECT_EQ(complete->complete_era, 5);
+  EXPECT_EQ(Find("a"), Version(1));
+}
+
+// Guards against hosts that start later and take the table of a restored store
+// for one that an older build wrote.
+TEST_F(restored_versions, TableOfAnOlderBuildIsMarkedAfterARestoration) {
+  const version_table table{kService, Version(1), true, 1};
+  Start({Version(1), Version(2)}, 4, table);
+  host_.OnListing(Listing(5, table), host_.RequestListing());
+  const auto marked = host_.NextTable();
+  ASSERT_TRUE(marked);
+  EXPECT_EQ(marked->complete_era, 4);
+}
+
+// Guards against a stream of a killed host that is refused although another
+// host knows its version.
+TEST_F(restored_versions, ReportedStreamIsTakenUpAtItsVersion) {
+  const version_table table{kService, Version(1), true, 1, 4};
+  Start({Version(1), Version(2)}, 4, table);
+  host_.OnReported({{request_id("a"), Version(2)}});
+  host_.OnListing(Listing(5, table), host_.RequestListing());
+  EXPECT_EQ(Find("a"), Version(2));
+}
+
+// Guards against starts that are forgotten although this host listed them
+// before the store was restored.
+TEST_F(restored_versions, ListedStartIsKeptOverARestoration) {
+  const version_table table{kService, Version(1), true, 1, 4};
+  Start({Version(1), Version(2)}, 4, table);
+  auto listing = Listing(4, table);
+  listing.batches.push_back({"p2-1", 3, {{request_id("a"), Version(2)}}});
+  host_.OnListing(listing, host_.RequestListing());
+  host_.OnListing(Listing(5, table), host_.RequestListing());
+  EXPECT_EQ(Find("a"), Version(2));
+}
+
+// Guards against refused streams of a service that has had one version only.
+TEST_F(restored_versions, OnlyVersionOfAServiceIsKnownSoonAfterwards) {
+  const version_table table{kService, Version(1), false, 1, 4};
+  Start({Version(1)}, 4, table);
+  host_.OnListing(Listing(5, table), host_.RequestListing());
+  EXPECT_EQ(Find("a"), std::nullopt);
+  Pass(4);
+  EXPECT_EQ(Find("a"), Version(1));
+  const auto complete = host_.NextTable();
+  ASSERT_TRUE(complete);
+  EXPECT_EQ(complete->complete_era, 5);
+}
+
+// Guards against a guess where the store lost that there were other versions.
+TEST_F(restored_versions, LostTableOfSeveralVersionsIsRemembered) {
+  Start({Version(1), Version(2)}, 4, {kService, Version(1), true, 2, 4});
+  host_.OnListing(Listing(5, {kService, Version(1), false, 1, 4}),
+                  host_.RequestListing());
+  List({Version(1)});
+  Pass(10);
+  EXPECT_EQ(Find("a"), std::nullopt);
+  const auto table = host_.NextTable();
+  ASSERT_TRUE(table);
+  EXPECT_TRUE(table->several);
+}
+
+// Guards against datagrams for each stream of a service with one version.
+TEST_F(restored_versions, StartsAreReportedOnlyWhileThereAreSeveralVersions) {
+  const version_table table{kService, Version(1), false, 1, 4};
+  Start({Version(1)}, 4, table);
+  host_.OnBegun({request_id("a"), Version(1)});
+  EXPECT_TRUE(host_.TakeUnreported().empty());
+  List({Version(1), Version(2)});
+  WriteTable();
+  EXPECT_EQ(host_.TakeUnreported().size(), 1U);
+  EXPECT_TRUE(host_.TakeUnreported().empty());
+}
+
 }  // namespace
 }  // namespace bluebell::serving
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -614,6 +614,7 @@
         self.front = base
         self.ports = range(base, base + 6)
         self.launch = None
+        self.program = soak.program
         self.log = os.path.join(soak.folder, f"host-{number}.log")
 
     async def start(self):
@@ -649,7 +650,7 @@
     def begin(self):
         with open(self.log, "ab") as log:
             process = subprocess.Popen(
-                [self.soak.program, "--hosted", "--config", self.ini],
+                [self.program, "--hosted", "--config", self.ini],
                 stdout=log, stderr=log)
         LAUNCHED.append(process)
         self.launch = Launch(process, os.path.getsize(self.log))
@@ -763,7 +764,10 @@
     def __init__(self, seed, options, folder):
         self.rng, self.schedule = random.Random(seed), random.Random(seed)
         self.seconds, self.folder = options.seconds, folder
-        self.program, self.host_count = options.program, options.hosts
+        self.seed, self.host_count = seed, options.hosts
+        self.program, self.replacement = options.program, options.replace
+        if self.replacement and seed % 2 == 1:
+            self.program, self.replacement = self.replacement, self.program
         self.crash_parts = options.crash_parts
         self.store = Store(self.rng)
         self.runs, self.problems = {}, []
@@ -1192,6 +1196,16 @@
         elif kind == "states":
             await self.state(rng)
 
+    async def replace_builds(self):
+        """Stops the hosts one after the other and starts each by the program
+        to replace the first one, as an upgrade does."""
+        order = random.Random(self.seed)
+        for host in order.sample(self.hosts, len(self.hosts)):
+            await asyncio.sleep(self.seconds / (len(self.hosts) + 1))
+            self.note(f"host-{host.number} is replaced by {self.replacement}")
+            host.program = self.replacement
+            host.term()
+
     async def watch_pauses(self):
         """Finds the times at which this process itself was late."""
         while not self.ending:
@@ -1371,6 +1385,8 @@
         tasks += [asyncio.create_task(self.stop_client())
                   for _ in range(4 * self.host_count)]
         await asyncio.sleep(2)
+        if self.replacement:
+            self.start_task(self.replace_builds())
         await self.run_phases()
         calm, before = now(), self.served
         while self.served < before + 20 and now() < calm + 10:
@@ -1428,6 +1444,9 @@
     parser.add_argument("--port", type=int, default=21000)
     parser.add_argument("--hosts", type=int, default=5)
     parser.add_argument("--program", default=PROGRAM)
+    parser.add_argument("--replace", metavar="PROGRAM",
+                        help="another build, which replaces the hosts of the "
+                             "first one by one; odd seeds begin with it")
     parser.add_argument("--crash-parts", action="store_true",
                         help="check CRASH too")
     options = parser.parse_args()
