room_ledger: send brittle engines no more than they have room for

Cause: nothing read Server-Brittle. Hosts choose engines by what the others had in flight up to 0.9 s ago, and the engine's queue is the buffer for the error; a brittle engine has none. Ruled out: too much load, since it is the same as before the engines were brittle, when all but a few are served.

Change: the state belongs to the service, and hosts exchange its begin and end. While it lasts, one host per engine grants each request to it as long as all hosts together have fewer there than its slots; the others wait at the hosts, the most urgent first, or are refused at once. Requests of older builds and of other owners count by digests and by the load that engines state.

--- a/packages/edge/digest_exchange.cpp
+++ b/packages/edge/digest_exchange.cpp
@@ -54,6 +54,9 @@
 constexpr char kPermitResponseTag = 'G';
 constexpr char kStartReportTag = 'S';
 constexpr char kStartQueryTag = 'W';
+constexpr char kRoomRequestTag = 'R';
+constexpr char kRoomResponseTag = 'O';
+constexpr char kRoomReleaseTag = 'E';
 // A permit owner answers within a round trip of a few milliseconds.
 constexpr milliseconds kPermitTimeout{100};
 // A lost adapter request is sent again by the requests waiting for the adapter.
@@ -62,7 +65,8 @@
 }  // namespace
 
 result<std::unique_ptr<digest_exchange>> digest_exchange::Create(
-    edge_state& host, store_sync& sync, start_exchange& starts) {
+    edge_state& host, store_sync& sync, start_exchange& starts,
+    room_exchange& room) {
   const auto address = ParseAddress(host.settings.digest_listen);
   if (!address) return tl::unexpected(address.error());
   udp::socket socket(host.io);
@@ -76,12 +80,17 @@
                 host.settings.digest_listen + ": " + ec.message());
   }
   return std::unique_ptr<digest_exchange>(
-      new digest_exchange(host, sync, starts, std::move(socket)));
+      new digest_exchange(host, sync, starts, room, std::move(socket)));
 }
 
 digest_exchange::digest_exchange(edge_state& host, store_sync& sync,
-                                 start_exchange& starts, udp::socket socket)
-    : host_(host), sync_(sync), starts_(starts), socket_(std::move(socket)) {
+                                 start_exchange& starts, room_exchange& room,
+                                 udp::socket socket)
+    : host_(host),
+      sync_(sync),
+      starts_(starts),
+      room_(room),
+      socket_(std::move(socket)) {
   sync_.send_request = [this](const auto& address, const auto& bytes) {
     SendTo(address, kSyncRequestTag, bytes);
   };
@@ -91,6 +100,15 @@
   starts_.send_query = [this](const auto& address, const auto& bytes) {
     SendTo(address, kStartQueryTag, bytes);
   };
+  room_.send_request = [this](const auto& address, const auto& bytes) {
+    SendTo(address, kRoomRequestTag, bytes);
+  };
+  room_.send_response = [this](const auto& address, const auto& bytes) {
+    SendTo(address, kRoomResponseTag, bytes);
+  };
+  room_.send_release = [this](const auto& address, const auto& bytes) {
+    SendTo(address, kRoomReleaseTag, bytes);
+  };
 }
 
 void digest_exchange::RunReceive(asio::yield_context yield) {
@@ -125,6 +143,15 @@
       case kPermitResponseTag:
         HandlePermitResponse(bytes);
         break;
+      case kRoomRequestTag:
+        room_.HandleRequest(bytes, sender);
+        break;
+      case kRoomResponseTag:
+        room_.HandleResponse(bytes);
+        break;
+      case kRoomReleaseTag:
+        room_.HandleRelease(bytes, sender);
+        break;
       case kStartReportTag:
         starts_.HandleReport(bytes, sender);
         break;
@@ -161,6 +188,7 @@
                                    {"address", digest->front_address}});
   }
   host_.fleet.OnPeerLoad(digest->host, digest->in_flight);
+  room_.OnInFlight(from, digest->in_flight);
   host_.fleet.OnPeerOutcomes(digest->outcomes);
   // A standby host hears the engaged hosts of other zones too rarely to take
   // their reports for current.
@@ -181,6 +209,9 @@
   for (const auto& notice : digest->limits) {
     OnLimitNotice(host_, digest->host.value(), notice, late);
   }
+  for (const auto& notice : digest->brittle) {
+    OnBrittleNotice(host_, digest->host.value(), notice, late);
+  }
   if (digest->store) host_.store_contact.OnPeer(*digest->store, late);
   if (digest->leaving) host_.fleet.OnPeerGone(digest->host);
   demand_[digest->host] = digest->demand;
@@ -198,6 +229,7 @@
     adapter_requests_sent_.clear();
     for (const auto& silent : host_.directory.TakeSilentHosts()) {
       host_.fleet.OnPeerGone(silent);
+      room_.OnHostGone(host_.directory.peers().at(silent).digest_address);
       demand_.erase(silent);
       host_.log.Write("host_silent", {{"peer", silent.value()}});
     }
@@ -415,6 +447,8 @@
     if (host_.fleet.Find(notice.engine) == nullptr) continue;
     digest.limits.push_back(std::move(notice));
   }
+  digest.brittle = host_.brittle.Notices();
+  digest.shares_room = true;
   digest.store = host_.store_contact.Report();
   return digest;
 }
--- a/packages/edge/digest_exchange.h
+++ b/packages/edge/digest_exchange.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "edge/edge_state.h"
+#include "edge/room_exchange.h"
 #include "edge/start_exchange.h"
 #include "edge/store_sync.h"
 #include "serving/host_digest.h"
@@ -25,8 +26,10 @@
 /// engaged hosts.
 class digest_exchange {
  public:
-  static result<std::unique_ptr<digest_exchange>> Create(
-      edge_state& host, store_sync& sync, start_exchange& starts);
+  static result<std::unique_ptr<digest_exchange>> Create(edge_state& host,
+                                                         store_sync& sync,
+                                                         start_exchange& starts,
+                                                         room_exchange& room);
 
   /// Receives datagrams until the process ends.
   void RunReceive(boost::asio::yield_context yield);
@@ -61,7 +64,7 @@
 
  private:
   digest_exchange(edge_state& host, store_sync& sync, start_exchange& starts,
-                  boost::asio::ip::udp::socket socket);
+                  room_exchange& room, boost::asio::ip::udp::socket socket);
 
   serving::host_digest BuildDigest();
   void HandleDigest(std::string_view bytes, const std::string& from);
@@ -80,6 +83,7 @@
   edge_state& host_;
   store_sync& sync_;
   start_exchange& starts_;
+  room_exchange& room_;
   boost::asio::ip::udp::socket socket_;
   std::array<char, 65536> received_;
   std::uint64_t sequence_ = 0;
--- a/packages/edge/edge_host.cpp
+++ b/packages/edge/edge_host.cpp
@@ -12,6 +12,7 @@
 #include "edge/placement_runner.h"
 #include "edge/quarantine_sync.h"
 #include "edge/request_relay.h"
+#include "edge/room_exchange.h"
 #include "edge/start_exchange.h"
 #include "edge/store_sync.h"
 #include "edge/version_sync.h"
@@ -131,6 +132,7 @@
         quarantine(state),
         versions(state),
         starts(state),
+        room(state),
         prober(state) {}
 
   std::size_t OpenRequests() const {
@@ -142,6 +144,7 @@
   quarantine_sync quarantine;
   version_sync versions;
   start_exchange starts;
+  room_exchange room;
   engine_prober prober;
   std::unique_ptr<digest_exchange> exchange;
   std::unique_ptr<placement_runner> placement;
@@ -163,8 +166,8 @@
   auto created =
       std::make_unique<impl>(context, source, settings, dialect, store);
   auto* host = created.get();
-  auto exchange =
-      digest_exchange::Create(host->state, host->sync, host->starts);
+  auto exchange = digest_exchange::Create(host->state, host->sync, host->starts,
+                                          host->room);
   if (!exchange) return tl::unexpected(exchange.error());
   host->exchange = std::move(*exchange);
   host->placement =
@@ -176,6 +179,10 @@
   host->state.ask_permit = [host](const endpoint_id& engine, auto yield) {
     return host->exchange->AskPermit(engine, yield);
   };
+  host->state.take_room = [host](const endpoint_id& engine, int urgency,
+                                 clock::duration wait, auto yield) {
+    return host->room.Take(engine, urgency, wait, yield);
+  };
   host->state.ask_start = [host](const request_id& attempt) {
     host->starts.Ask(attempt);
   };
@@ -267,6 +274,7 @@
   gateway::SpawnTask(context,
                      [host](auto yield) { host->versions.RunStarts(yield); });
   gateway::SpawnTask(context, [host](auto yield) { host->starts.Run(yield); });
+  gateway::SpawnTask(context, [host](auto yield) { host->room.Run(yield); });
   gateway::SpawnTask(context, [host](auto yield) { host->prober.Run(yield); });
   gateway::SpawnTask(context, [host](auto yield) {
     LogChanges(host->state, host->quarantine, yield);
--- a/packages/edge/edge_state.h
+++ b/packages/edge/edge_state.h
@@ -18,6 +18,7 @@
 #include "edge/engine_records.h"
 #include "edge/request_dialect.h"
 #include "routing/quarantine.h"
+#include "serving/brittle_services.h"
 #include "serving/demand_average.h"
 #include "serving/engine_fleet.h"
 #include "serving/engine_limits.h"
@@ -36,6 +37,7 @@
 namespace bluebell::edge {
 
 class relayed_request;
+class room_lease;
 
 /// State shared by the components of one entry host. None of it is
 /// persisted, except for quarantined prompt parts (`quarantine_sync`).
@@ -62,6 +64,7 @@
         records(source, log, metrics, fleet, versions, changed),
         reach(source),
         limits(source),
+        brittle(source),
         quota(source, seed),
         retries(source, settings.retries),
         freshness(source, settings.key_withdrawal),
@@ -117,6 +120,12 @@
                                      boost::asio::yield_context)>
       ask_permit;
 
+  /// Gets room for a request at an engine of a brittle service.
+  std::function<std::unique_ptr<room_lease>(const endpoint_id&, int urgency,
+                                            clock::duration wait,
+                                            boost::asio::yield_context)>
+      take_room;
+
   /// Asks the other hosts where the stream of an attempt began.
   std::function<void(const request_id&)> ask_start;
 
@@ -132,6 +141,7 @@
   engine_records records;
   serving::engine_reach reach;
   serving::engine_limits limits;
+  serving::brittle_services brittle;
   serving::shared_quota quota;
   serving::service_retry_budget retries;
   serving::key_freshness freshness;
--- a/packages/edge/engine_statements.cpp
+++ b/packages/edge/engine_statements.cpp
@@ -22,8 +22,44 @@
   if (!limit) host.changed.Notify();
 }
 
+// Logs a change of the service's state from `before`.
+void LogBrittle(edge_state& host, const serving::service_id& service,
+                std::optional<double> before, const std::string& source) {
+  const auto refusals = host.brittle.Refusals(service);
+  if (refusals == before) return;
+  host.log.Write(
+      "service_brittle",
+      {{"service", service.value()},
+       {"refusals_per_s", refusals ? fmt::format("{:.3g}", *refusals) : ""},
+       {"source", source}});
+  if (!refusals) host.changed.Notify();
+}
+
+void OnBrittleStatement(edge_state& host, const endpoint_id& engine,
+                        const serving::engine_statement& statement,
+                        std::optional<clock::time_point> sent) {
+  const auto* found = host.fleet.Find(engine);
+  if (found == nullptr) return;
+  const auto& service = found->record.service;
+  const auto before = host.brittle.Refusals(service);
+  if (statement.survived_refusals_per_s) {
+    host.brittle.OnNamed(service, *statement.survived_refusals_per_s);
+  } else if (sent) {
+    host.brittle.OnNoneNamed(service, *sent);
+  }
+  LogBrittle(host, service, before, engine.value());
+}
+
 }  // namespace
 
+void OnBrittleNotice(edge_state& host, const std::string& sender,
+                     const serving::brittle_notice& notice,
+                     clock::duration late) {
+  const auto before = host.brittle.Refusals(notice.service);
+  host.brittle.OnNotice(notice, late);
+  LogBrittle(host, notice.service, before, sender);
+}
+
 void OnEngineAnswer(edge_state& host, const endpoint_id& engine,
                     const http_response& head,
                     std::optional<clock::time_point> sent) {
@@ -33,6 +69,7 @@
       !statement.engine.value().empty() && statement.engine != engine;
   if (from_another) return;
   host.records.OnStatement(engine, statement);
+  OnBrittleStatement(host, engine, statement, sent);
   const auto before = host.limits.Limit(engine);
   if (statement.limit_per_s) {
     host.limits.OnNamed(engine, StartOf(host, engine), *statement.limit_per_s);
--- a/packages/edge/engine_statements.h
+++ b/packages/edge/engine_statements.h
@@ -19,6 +19,11 @@
 void OnLimitNotice(edge_state& host, const std::string& sender,
                    const serving::limit_notice& notice, clock::duration late);
 
+/// Applies what `sender` reported of a brittle service `late` ago.
+void OnBrittleNotice(edge_state& host, const std::string& sender,
+                     const serving::brittle_notice& notice,
+                     clock::duration late);
+
 /// Takes a permit to send `engine` one request of any kind. May suspend the
 /// coroutine for a request to the engine's permit owner.
 serving::send_permit TakePermit(edge_state& host, const endpoint_id& engine,
--- a/packages/edge/relayed_request.h
+++ b/packages/edge/relayed_request.h
@@ -10,6 +10,7 @@
 #include "edge/edge_state.h"
 #include "edge/engine_connections.h"
 #include "edge/forwarded_call.h"
+#include "edge/room_exchange.h"
 #include "gateway/endpoint_connection.h"
 #include "gateway/response_writer.h"
 
@@ -109,6 +110,9 @@
   serving::engine_choice WaitForEngine();
   // Chooses an engine and takes a permit to send to it, or chooses another.
   serving::engine_choice ChooseWithPermit();
+  // Takes room at `engine` if its service is brittle; waits for it for `wait`.
+  // Returns false if there is none.
+  bool TakeRoom(const endpoint_id& engine, clock::duration wait);
   // Time for which the caller waits for the first event or the answer.
   clock::duration CallerTimeout() const;
   clock::duration MaxSlotWait() const;
@@ -241,6 +245,9 @@
   std::optional<clock::time_point> last_event_at_;
   clock::duration longest_gap_{0};
 
+  /// Room for the next or current send; none where none is needed.
+  std::unique_ptr<room_lease> room_;
+
   // State of the current or last send.
   endpoint_id last_engine_;
   software_version engine_software_;
--- a/packages/edge/request_relay.cpp
+++ b/packages/edge/request_relay.cpp
@@ -27,6 +27,9 @@
 constexpr int kStreamTimeoutGaps = 8;
 // Fraction of the latency objective that a request may wait for a slot.
 constexpr double kSlotWaitFraction = 0.8;
+// Engines of a brittle service that a request asks for room before it waits
+// for it.
+constexpr std::size_t kMaxRoomRequests = 3;
 // Fraction of an engine's connection limit used for requests; the rest covers
 // orders, idle connections and hosts whose digests are not received.
 constexpr double kConnectionFraction = 0.8;
@@ -287,6 +290,7 @@
       return Fail(502, "crashes_engines");
     }
     const send_result result = SendTo(choice.engine);
+    room_.reset();
     LogSend(choice.engine, result);
     switch (result) {
       case send_result::kDelivered:
@@ -369,6 +373,7 @@
     const auto paused_for = host_.limits.PausedFor(engine);
     if (paused_for > clock::duration(0)) pass_over(engine, paused_for);
   }
+  std::vector<endpoint_id> without_room;
   while (true) {
     if (route_->resumable) {
       requirements_.software =
@@ -376,6 +381,15 @@
                          : std::set<software_version>{began_at_};
     }
     auto choice = host_.fleet.Choose(requirements_, MaxSlotWait(), excluded);
+    const bool none_left = choice.status != choice_status::kChosen ||
+                           without_room.size() >= kMaxRoomRequests;
+    if (none_left && !without_room.empty()) {
+      const auto& engine = without_room.front();
+      if (TakeRoom(engine, MaxSlotWait() - (host_.time.now() - received_at_))) {
+        return {choice_status::kChosen, engine, clock::duration(0)};
+      }
+      return {choice_status::kBusy, {}, kMinRetryDelay};
+    }
     if (choice.status != choice_status::kChosen) {
       // Another engine may load the adapter within milliseconds.
       if (!limited_for || choice.status == choice_status::kNoAdapter) {
@@ -390,7 +404,10 @@
     // The engine may have left during the request for the permit.
     const auto* engine = host_.fleet.Find(choice.engine);
     const bool stays = engine != nullptr && !engine->record.leaving;
-    if (permit.granted && stays) return choice;
+    if (permit.granted && stays) {
+      if (TakeRoom(choice.engine, clock::duration(0))) return choice;
+      without_room.push_back(choice.engine);
+    }
     if (permit.granted) {
       excluded.insert(choice.engine);
     } else {
@@ -399,6 +416,20 @@
   }
 }
 
+bool relayed_request::TakeRoom(const endpoint_id& engine,
+                               clock::duration wait) {
+  room_.reset();
+  const bool brittle =
+      host_.brittle.Refusals(requirements_.service).has_value();
+  if (!brittle || !host_.take_room) return true;
+  room_ = host_.take_room(engine, Urgency(), std::max(wait, clock::duration(0)),
+                          yield_);
+  // The engine may have left during the wait.
+  const auto* found = host_.fleet.Find(engine);
+  if (found == nullptr || found->record.leaving) room_.reset();
+  return room_ != nullptr;
+}
+
 clock::duration relayed_request::CallerTimeout() const {
   const auto time = deadline_ - received_at_;
   if (!route_->streaming) return time;
--- a/packages/edge/request_send.cpp
+++ b/packages/edge/request_send.cpp
@@ -248,6 +248,9 @@
   const bool ran = answer.matches_request && !answer.not_run &&
                    head.status >= 200 && head.status < 300;
   OnEngineAnswer(host_, id, head, ran ? std::optional(sent_at_) : std::nullopt);
+  if (room_ != nullptr) {
+    room_->outcome.load = host_.dialect.ReadStatement(head).load;
+  }
   return answer;
 }
 
@@ -353,6 +356,7 @@
                                       const engine_answer& answer_info) {
   last_detail_ = "status " + std::to_string(head.status);
   misdirected_ = answer_info.misdirected;
+  if (room_ != nullptr) room_->outcome.refused = !misdirected_;
   if (answer_info.misdirected) {
     if (!answer_info.engine.value().empty() && answer_info.engine != id) {
       host_.fleet.OnMisdirected(id);
--- a/packages/serving/engine_statement.h
+++ b/packages/serving/engine_statement.h
@@ -14,6 +14,11 @@
   endpoint_id engine;
   /// Will end soon and must get no more requests.
   bool leaving = false;
+  /// Refusals per second that the engine survives, while its service is
+  /// brittle.
+  std::optional<double> survived_refusals_per_s;
+  /// Requests that run and wait there.
+  std::optional<int> load;
   /// Requests per second that it accepts from all hosts together; none without
   /// a limit.
   std::optional<double> limit_per_s;
--- a/packages/serving/host_digest.cpp
+++ b/packages/serving/host_digest.cpp
@@ -43,7 +43,8 @@
       (digest.serving ? 1 : 0) | (digest.leaving ? 2 : 0) |
       (digest.hello ? 4 : 0) | (digest.holds_placement_lease ? 8 : 0) |
       (digest.active ? 16 : 0) | (digest.engaged ? 32 : 0) |
-      (digest.has_engine_contact ? 64 : 0) | (digest.engines_lost ? 128 : 0);
+      (digest.has_engine_contact ? 64 : 0) | (digest.engines_lost ? 128 : 0) |
+      (digest.shares_room ? 256 : 0);
   json& flight = out["flight"] = json::array();
   for (const auto& [engine, count] : digest.in_flight) {
     flight.push_back(json::array({engine.value(), count}));
@@ -138,6 +139,26 @@
   return evidence;
 }
 
+// The age of the naming is rounded up, that of the end down, so that a state
+// does not seem to last longer than it does.
+json EncodeBrittle(const brittle_notice& notice) {
+  json row = json::array(
+      {notice.service.value(), notice.refusals_per_s,
+       std::chrono::ceil<std::chrono::milliseconds>(notice.named_age).count()});
+  if (notice.free_age) row.push_back(ToMilliseconds(*notice.free_age));
+  return row;
+}
+
+brittle_notice DecodeBrittle(const json& row) {
+  brittle_notice notice{
+      service_id(row.at(0).get<std::string>()), row.at(1).get<double>(),
+      std::chrono::milliseconds(row.at(2).get<std::int64_t>()), std::nullopt};
+  if (row.size() > 3) {
+    notice.free_age = std::chrono::milliseconds(row.at(3).get<std::int64_t>());
+  }
+  return notice;
+}
+
 // Adapter requests, notices and crashes, in every digest that has some.
 void EncodeMessages(const host_digest& digest, json& out) {
   if (!digest.adapter_requests.empty()) {
@@ -160,6 +181,12 @@
       limits.push_back(EncodeLimit(entry));
     }
   }
+  if (!digest.brittle.empty()) {
+    json& brittle = out["brittle"] = json::array();
+    for (const auto& entry : digest.brittle) {
+      brittle.push_back(EncodeBrittle(entry));
+    }
+  }
   if (!digest.parts.empty()) {
     json& parts = out["parts"] = json::array();
     for (const auto& entry : digest.parts) parts.push_back(EncodePart(entry));
@@ -182,6 +209,7 @@
   digest.engaged = state & 32;
   digest.has_engine_contact = state & 64;
   digest.engines_lost = state & 128;
+  digest.shares_room = state & 256;
   for (const auto& row : in.at("flight")) {
     digest.in_flight[endpoint_id(row.at(0).get<std::string>())] =
         row.at(1).get<int>();
@@ -248,6 +276,11 @@
         digest.limits.push_back(DecodeLimit(row));
       }
     }
+    if (in.contains("brittle")) {
+      for (const auto& row : in["brittle"]) {
+        digest.brittle.push_back(DecodeBrittle(row));
+      }
+    }
     if (in.contains("parts")) {
       for (const auto& row : in["parts"]) {
         digest.parts.push_back(DecodePart(row));
--- a/packages/serving/host_digest.h
+++ b/packages/serving/host_digest.h
@@ -9,6 +9,7 @@
 
 #include "base/ids.h"
 #include "base/result.h"
+#include "serving/brittle_services.h"
 #include "serving/engine_fleet.h"
 #include "serving/engine_limits.h"
 #include "serving/part_quarantine.h"
@@ -79,6 +80,10 @@
   std::map<std::string, int> crashes;
   /// Rate limits of engines that are known to this host.
   std::vector<limit_notice> limits;
+  /// Brittle services that are known to this host.
+  std::vector<brittle_notice> brittle;
+  /// The host asks for room at engines of brittle services, and grants it.
+  bool shares_room = false;
   /// None if the host does not read the store.
   std::optional<store_contact_report> store;
   /// Prompt parts that may crash engines.
--- a/packages/serving/host_directory.cpp
+++ b/packages/serving/host_directory.cpp
@@ -223,10 +223,26 @@
 
 const host_directory::peer* host_directory::PermitOwner(
     std::uint64_t engine, bool self_may_own) const {
+  return Owner(engine, self_may_own, false);
+}
+
+const host_directory::peer* host_directory::RoomOwner(std::uint64_t engine,
+                                                      bool self_may_own) const {
+  return Owner(engine, self_may_own, true);
+}
+
+bool host_directory::SharesRoom(const host_id& host) const {
+  const auto found = peers_.find(host);
+  return found != peers_.end() && found->second.newest.shares_room;
+}
+
+const host_directory::peer* host_directory::Owner(std::uint64_t engine,
+                                                  bool self_may_own,
+                                                  bool only_room) const {
   std::vector<std::pair<decltype(RankKey(self_, 0)), const peer*>> live;
   if (self_may_own) live.push_back({RankKey(self_, capacity_), nullptr});
   for (const auto& [id, peer] : peers_) {
-    if (IsLive(peer)) {
+    if (IsLive(peer) && (!only_room || peer.newest.shares_room)) {
       live.push_back({RankKey(id, peer.newest.capacity), &peer});
     }
   }
--- a/packages/serving/host_directory.h
+++ b/packages/serving/host_directory.h
@@ -99,6 +99,11 @@
   /// first of that ranking. Null if it is this host; `self_may_own`: whether it
   /// is in the ranking.
   const peer* PermitOwner(std::uint64_t engine, bool self_may_own) const;
+  /// The host that grants room at the engine with hash `engine`
+  /// (`room_ledger`), chosen in the same way among hosts that do.
+  const peer* RoomOwner(std::uint64_t engine, bool self_may_own) const;
+  /// Whether `host` asks for room at engines of brittle services.
+  bool SharesRoom(const host_id& host) const;
   /// Digest addresses of up to `count` live hosts that keep this one's starts
   /// of streams. Few of them change when other hosts come or go.
   std::vector<std::string> StartKeepers(std::size_t count) const;
@@ -135,6 +140,10 @@
   static constexpr int kMinEngagedPeers = 2;
 
   bool IsLive(const peer& other) const;
+  // One of the first of the ranking for the engine with hash `engine`; null if
+  // it is this host. `only_room`: of the hosts that share room.
+  const peer* Owner(std::uint64_t engine, bool self_may_own,
+                    bool only_room) const;
   bool IsStarting() const { return clock_.now() - started_ < kStartupPeriod; }
   // Whether `other` sends this host each of its digests.
   bool ExchangesWith(const peer& other) const;
--- /dev/null
+++ b/packages/serving/room_messages.cpp
@@ -0,0 +1,78 @@
+#include "serving/room_messages.h"
+
+#include <nlohmann/json.hpp>
+
+namespace bluebell::serving {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+std::string ToBytes(const json& message) {
+  const auto bytes = json::to_cbor(message);
+  return {bytes.begin(), bytes.end()};
+}
+
+// Applies `decode` to the message in `bytes`.
+template <class Decode>
+auto Decoded(std::string_view bytes, const Decode& decode)
+    -> result<decltype(decode(json()))> {
+  try {
+    return decode(json::from_cbor(bytes.begin(), bytes.end()));
+  } catch (const json::exception& failure) {
+    return Fail(error_code::kInvalidArgument, failure.what());
+  }
+}
+
+}  // namespace
+
+std::string EncodeRoomRequest(const room_request& request) {
+  return ToBytes(
+      json::array({request.engine.value(), request.number, request.urgency,
+                   std::chrono::floor<milliseconds>(request.wait).count()}));
+}
+
+result<room_request> DecodeRoomRequest(std::string_view bytes) {
+  return Decoded(bytes, [](const json& in) {
+    return room_request{endpoint_id(in.at(0).get<std::string>()),
+                        {},
+                        in.at(1).get<std::uint64_t>(),
+                        in.at(2).get<int>(),
+                        milliseconds(in.at(3).get<std::int64_t>())};
+  });
+}
+
+std::string EncodeRoomResponse(const room_response& response) {
+  return ToBytes(
+      json::array({response.number, static_cast<int>(response.answer)}));
+}
+
+result<room_response> DecodeRoomResponse(std::string_view bytes) {
+  return Decoded(bytes, [](const json& in) {
+    const int answer = in.at(1).get<int>();
+    const bool known = answer == static_cast<int>(room_answer::kGranted) ||
+                       answer == static_cast<int>(room_answer::kQueued);
+    return room_response{
+        in.at(0).get<std::uint64_t>(),
+        known ? static_cast<room_answer>(answer) : room_answer::kDenied};
+  });
+}
+
+std::string EncodeRoomRelease(const room_release& release) {
+  return ToBytes(json::array({release.engine.value(), release.number,
+                              release.outcome.refused,
+                              release.outcome.load.value_or(-1)}));
+}
+
+result<room_release> DecodeRoomRelease(std::string_view bytes) {
+  return Decoded(bytes, [](const json& in) {
+    room_release release{endpoint_id(in.at(0).get<std::string>()),
+                         in.at(1).get<std::uint64_t>(),
+                         {in.at(2).get<bool>(), std::nullopt}};
+    const int load = in.at(3).get<int>();
+    if (load >= 0) release.outcome.load = load;
+    return release;
+  });
+}
+
+}  // namespace bluebell::serving
