gateway: bound what connections hold of bytes without end

A faulty engine, or a caller without a key, could take all memory of a host with one chunk extension or trailer that does not end; the process ended with the requests of all other callers (LOST).

Cause: the parser keeps an unfinished head, chunk line or trailer in the connection's buffer, which had no bound, and nothing bounded all bodies together. Ruled out: heads and interim responses, which end at the limit on headers (their tests passed before).

Change: one bound for the buffers of all connections, and one budget, a quarter of the process's memory, for requests and answers that are held at once. What exceeds it is refused as not run, or given up as cut off.

Measured: with the bound taken out, ChunkExtensionWithoutEndIsCut and TrailerWithoutEndIsCut fail, since the server reads all 64 MB; with it, all tests of bounded_server and endless_answer pass. Peak memory was not measured.

--- a/packages/ctl/http_client.cpp
+++ b/packages/ctl/http_client.cpp
@@ -8,6 +8,8 @@
 #include <chrono>
 #include <utility>
 
+#include "base/byte_budget.h"
+
 namespace bluebell::ctl {
 namespace {
 
@@ -55,7 +57,7 @@
     stream.expires_after(kAnswerTimeout);
     http::async_write(stream, message, yield[failure]);
     if (failure) return Lost(failure.message());
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(kMaxUnparsedBytes);
     http::response_parser<http::string_body> parser;
     parser.body_limit(kMaxAnswer);
     http::async_read(stream, buffer, parser, yield[failure]);
--- a/packages/edge/edge_host.cpp
+++ b/packages/edge/edge_host.cpp
@@ -40,6 +40,7 @@
     if (code == problem_code::kHeadersTooLarge) status = 431;
     if (code == problem_code::kBodyTooLarge) status = 413;
     if (code == problem_code::kRequestTimeout) status = 408;
+    if (code == problem_code::kNotReady) status = 503;
     return dialect.LocalAnswer(status, request_id(), std::nullopt);
   };
 }
@@ -191,6 +192,7 @@
   const auto listen = [&](const std::string& address,
                           gateway::http_limits limits,
                           http_server::handler handler) {
+    limits.memory = host->state.memory;
     auto server = http_server::Listen(
         context, address, limits, std::move(handler), RejectMalformed(dialect));
     if (!server) {
@@ -200,7 +202,8 @@
     return std::move(*server);
   };
   host->state.on_config = [host] {
-    const auto limits = ToHttpLimits(host->state.config->limits);
+    auto limits = ToHttpLimits(host->state.config->limits);
+    limits.memory = host->state.memory;
     host->callers->SetLimits(limits);
     host->forwards->SetLimits(ToForwardLimits(limits));
   };
--- a/packages/edge/edge_settings.cpp
+++ b/packages/edge/edge_settings.cpp
@@ -1,6 +1,7 @@
 #include "edge/edge_settings.h"
 
 #include <cmath>
+#include <cstdlib>
 
 namespace bluebell::edge {
 namespace {
@@ -11,6 +12,12 @@
 constexpr std::int64_t kMaxRetryRatio = 100;
 constexpr double kMillicoresPerCore = 1000;
 constexpr std::int64_t kMaxSlack = 1'000'000;
+constexpr char kMemoryVariable[] = "BLUEBELL_MEMORY_MB";
+constexpr char kDefaultMemory[] = "100";
+constexpr std::int64_t kMaxMemory = 1'000'000;
+constexpr double kBytesPerMegabyte = 1024 * 1024;
+// Part of the memory for requests and answers.
+constexpr double kHeldShare = 0.25;
 
 setting_rule Rule(std::string section, std::string key, setting_type type,
                   std::string default_value = {}) {
@@ -31,6 +38,16 @@
   return Rule(std::move(section), std::move(key), setting_type::kAddress);
 }
 
+// Optional; without it, the environment tells the memory of the process.
+setting_rule MemoryMegabytes(std::string section, std::string key) {
+  const char* given = std::getenv(kMemoryVariable);
+  auto rule = Rule(std::move(section), std::move(key), setting_type::kDecimal,
+                   given == nullptr ? kDefaultMemory : given);
+  rule.minimum = 1;
+  rule.maximum = kMaxMemory;
+  return rule;
+}
+
 setting_rule Milliseconds(std::string section, std::string key,
                           std::string default_value = {}) {
   auto rule = Rule(std::move(section), std::move(key),
@@ -69,6 +86,8 @@
       Text("host", "id"),
       Text("host", "zone"),
       Decimal("host", "cores", kMaxCores),
+      // Memory of the process, from the environment if the file has none.
+      MemoryMegabytes("host", "memory_mb"),
       Address("listen", "callers"),
       Address("listen", "ready"),
       Address("listen", "directory"),
@@ -109,6 +128,8 @@
   loaded.zone = zone_id(read->Text("host", "zone"));
   loaded.capacity =
       static_cast<int>(read->Decimal("host", "cores") * kMillicoresPerCore);
+  loaded.held_bytes = static_cast<std::size_t>(
+      read->Decimal("host", "memory_mb") * kHeldShare * kBytesPerMegabyte);
   loaded.callers_listen = read->Text("listen", "callers");
   loaded.ready_listen = read->Text("listen", "ready");
   loaded.directory_listen = read->Text("listen", "directory");
--- a/packages/edge/edge_state.h
+++ b/packages/edge/edge_state.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 
+#include "base/byte_budget.h"
 #include "base/clock.h"
 #include "edge/change_signal.h"
 #include "edge/decision_log.h"
@@ -57,6 +58,7 @@
         changed(context),
         versions_changed(context),
         connections(context, source),
+        memory(std::make_shared<byte_budget>(settings.held_bytes)),
         log(source, settings.id),
         store_contact(source),
         fleet(source, settings.zone, seed),
@@ -133,6 +135,8 @@
   /// Something in `versions` has changed or is asked for.
   change_signal versions_changed;
   engine_connections connections;
+  /// Requests and answers that are held at once.
+  std::shared_ptr<byte_budget> memory;
   decision_log log;
   edge_metrics metrics;
   serving::store_contact store_contact;
--- a/packages/edge/relayed_request.h
+++ b/packages/edge/relayed_request.h
@@ -47,7 +47,8 @@
         received_at_(host.time.now()),
         config_(host.config),
         caller_(host.dialect.ReadRequest(received)),
-        forwarded_(std::move(forwarded)) {}
+        forwarded_(std::move(forwarded)),
+        held_(host.memory) {}
 
   /// Serves the request to completion.
   void Run();
@@ -208,6 +209,8 @@
   /// Set if another host passed the request on to this one.
   std::optional<forwarded_call> forwarded_;
   timer_handle deadline_timer_;
+  /// The part of the engine's answer that is held.
+  byte_share held_;
 
   const serving::route* route_ = nullptr;
   const serving::account* account_ = nullptr;
--- a/packages/edge/request_send.cpp
+++ b/packages/edge/request_send.cpp
@@ -292,7 +292,7 @@
   // An answer to an earlier request may precede the expected one.
   for (int extra = 0; !answer_info.matches_request && extra < 2; ++extra) {
     const auto skipped =
-        connection.ReadBody(kMaxAnswerBytes, TimeLeft(), yield_);
+        connection.ReadBody(kMaxAnswerBytes, TimeLeft(), yield_, &held_);
     if (!skipped) return OnConnectionLost();
     connection.ExpectNextResponse();
     head = connection.ReadHead(std::max(TimeLeft(), milliseconds(1)), yield_);
@@ -317,7 +317,7 @@
     return send_result::kUnknown;
   }
   auto body = connection.ReadBody(
-      kMaxAnswerBytes, std::max(TimeLeft(), milliseconds(1)), yield_);
+      kMaxAnswerBytes, std::max(TimeLeft(), milliseconds(1)), yield_, &held_);
   if (!body) last_detail_ = body.error().detail;
   if (!body || !IsProvedWhole()) {
     --runs_;  // counted again by OnConnectionLost
@@ -366,7 +366,7 @@
     }
   }
   const auto body = lease.connection->ReadBody(
-      kMaxAnswerBytes, std::max(TimeLeft(), milliseconds(1)), yield_);
+      kMaxAnswerBytes, std::max(TimeLeft(), milliseconds(1)), yield_, &held_);
   if (body) ReturnConnection(id, lease, answer_info);
   if (caller_gone_) return send_result::kCallerGone;
   return send_result::kNotRun;
@@ -424,8 +424,11 @@
     pending += *part;
     const auto complete = CompleteEvents(pending, scanned);
     if (complete == 0) {
-      if (pending.size() <= kMaxEventBytes) continue;
-      return break_off("event too large");
+      if (pending.size() > kMaxEventBytes) return break_off("event too large");
+      if (!held_.Resize(pending.size())) {
+        return break_off("too many answers are held");
+      }
+      continue;
     }
     if (!sink_.started()) {
       if (BeginsStream() && !AwaitStartStored()) {
--- a/packages/gateway/endpoint_connection.cpp
+++ b/packages/gateway/endpoint_connection.cpp
@@ -53,7 +53,7 @@
   }
 
   beast::tcp_stream stream;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{kMaxUnparsedBytes};
   std::optional<http::response_parser<http::buffer_body>> parser;
   std::array<char, kReadBytes> part;
   bool used = false;
@@ -171,7 +171,7 @@
 
 result<std::string> endpoint_connection::ReadBody(
     std::size_t limit, std::chrono::milliseconds timeout,
-    asio::yield_context yield) {
+    asio::yield_context yield, byte_share* held) {
   using steady = std::chrono::steady_clock;
   const auto deadline = steady::now() + timeout;
   std::string body;
@@ -186,6 +186,9 @@
     if (body.size() > limit) {
       return Fail(error_code::kTooLarge, "the answer is too large");
     }
+    if (held != nullptr && !held->Resize(body.size())) {
+      return Fail(error_code::kTooLarge, "too many answers are held");
+    }
   }
 }
 
--- a/packages/gateway/endpoint_connection.h
+++ b/packages/gateway/endpoint_connection.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 
+#include "base/byte_budget.h"
 #include "base/result.h"
 #include "gateway/http_types.h"
 
@@ -47,10 +48,11 @@
   result<std::string> ReadSome(std::chrono::milliseconds timeout,
                                boost::asio::yield_context yield);
   /// Reads the rest of the body, within `timeout` for all of it. Error
-  /// `kTooLarge` above `limit` bytes.
+  /// `kTooLarge` above `limit` bytes, or if `held` may not hold the body.
   result<std::string> ReadBody(std::size_t limit,
                                std::chrono::milliseconds timeout,
-                               boost::asio::yield_context yield);
+                               boost::asio::yield_context yield,
+                               byte_share* held = nullptr);
   /// Discards the parsed response and prepares for the next one, which the
   /// endpoint sends without another request.
   void ExpectNextResponse();
--- a/packages/gateway/http_server.cpp
+++ b/packages/gateway/http_server.cpp
@@ -259,6 +259,8 @@
     return problem_code::kHeadersTooLarge;
   if (ec == http::error::body_limit) return problem_code::kBodyTooLarge;
   if (ec == beast::error::timeout) return problem_code::kRequestTimeout;
+  if (ec == boost::system::errc::not_enough_memory)
+    return problem_code::kNotReady;
   if (ec == http::error::end_of_stream || ec == http::error::partial_message)
     return std::nullopt;
   if (ec.category() ==
@@ -288,6 +290,7 @@
   connection(std::shared_ptr<http_server::state> shared, tcp::socket socket)
       : state_(std::move(shared)),
         stream_(std::move(socket)),
+        held_(state_->limits.memory),
         number_(++state_->next_connection),
         status_(state_->connections[number_]) {
     status_.position.connection = number_;
@@ -315,8 +318,15 @@
     auto parser = std::make_unique<request_parser>();
     parser->header_limit(state_->limits.max_header_bytes);
     parser->body_limit(state_->limits.max_body_bytes);
+    // Bounds what the parser cannot consume yet, also within a body.
+    buffer_.max_size(std::max<std::size_t>(
+        buffer_.size(), state_->limits.max_header_bytes + kReadBytes));
     const io_error ec = Read(*parser, yield);
-    if (ec) return SendRequestError(ec, yield);
+    if (ec) {
+      parser.reset();
+      Hold(0);
+      return SendRequestError(ec, yield);
+    }
 
     const bool keep_alive =
         parser->get().keep_alive() && !state_->close_after_responses;
@@ -325,7 +335,9 @@
     const auto remote = stream_.socket().remote_endpoint(unknown);
     if (!unknown) request.remote_host = remote.address().to_string();
     parser.reset();
-    return Handle(request, keep_alive, yield);
+    const bool stays_open = Handle(request, keep_alive, yield);
+    Hold(0);
+    return stays_open;
   }
 
   io_error Read(request_parser& parser, asio::yield_context yield) {
@@ -348,16 +360,29 @@
       read_deadline deadline(stream_.socket(), state_->limits.header_timeout);
       http::async_read_header(stream_, buffer_, parser, yield[ec]);
       if (ec) return deadline.Translate(ec);
+      if (!Hold(0)) return NoMemory();
     }
     if (EqualsIgnoringCase(std::string(parser.get()[http::field::expect]),
                            "100-continue")) {
       SendContinue(yield);
     }
     read_deadline deadline(stream_.socket(), state_->limits.body_timeout);
-    http::async_read(stream_, buffer_, parser, yield[ec]);
+    parser.eager(true);
+    while (!ec && !parser.is_done()) {
+      http::async_read_some(stream_, buffer_, parser, yield[ec]);
+      if (!ec && !Hold(parser.get().body().size())) return NoMemory();
+    }
     return deadline.Translate(ec);
   }
 
+  // Takes the memory of the buffer and of a body of `bytes`.
+  bool Hold(std::size_t bytes) {
+    return held_.Resize(buffer_.capacity() + bytes);
+  }
+  static io_error NoMemory() {
+    return make_error_code(boost::system::errc::not_enough_memory);
+  }
+
   void SendContinue(asio::yield_context yield) {
     http::response<http::empty_body> message{http::status::continue_, 11};
     io_error ignored;
@@ -418,6 +443,7 @@
   std::shared_ptr<http_server::state> state_;
   beast::tcp_stream stream_;
   beast::flat_buffer buffer_;
+  byte_share held_;
   std::uint64_t number_;
   connection_status& status_;
 };
--- a/packages/gateway/http_server.h
+++ b/packages/gateway/http_server.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "base/byte_budget.h"
 #include "base/problem.h"
 #include "base/result.h"
 #include "gateway/http_types.h"
@@ -25,6 +26,8 @@
   std::chrono::milliseconds idle_timeout{60'000};
   /// Timeout of one write to the caller.
   std::chrono::milliseconds write_timeout{30'000};
+  /// Budget for what all connections hold; none: no limit over all.
+  std::shared_ptr<byte_budget> memory;
 };
 
 enum class connection_phase {
--- a/packages/gateway/tests/http_server_test.cpp
+++ b/packages/gateway/tests/http_server_test.cpp
@@ -2,9 +2,16 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
+#include <string>
+#include <vector>
+
+#include "gateway/network.h"
 
 namespace bluebell::gateway {
 namespace {
@@ -66,5 +73,128 @@
   io.run_for(milliseconds(200));
 }
 
+/// A server whose requests are answered after 100 ms.
+class bounded_server : public testing::Test {
+ protected:
+  void Listen(const http_limits& limits) {
+    auto listening = http_server::Listen(
+        io_, "127.0.0.1:0", limits,
+        [this](const auto&, auto& sink, auto yield) {
+          asio::steady_timer timer(io_, milliseconds(100));
+          boost::system::error_code ignored;
+          timer.async_wait(yield[ignored]);
+          Answer(200, sink, yield);
+        },
+        [](auto code, const auto&) {
+          http_response answer;
+          answer.status = Describe(code).http_status;
+          return answer;
+        });
+    ASSERT_TRUE(listening);
+    server_ = std::move(*listening);
+  }
+  ~bounded_server() override {
+    server_.reset();
+    io_.restart();
+    io_.run_for(milliseconds(200));
+  }
+  static void Answer(int status, response_writer& sink,
+                     asio::yield_context yield) {
+    http_response answer;
+    answer.status = status;
+    sink.SendResponse(answer, yield);
+  }
+  /// Writes `head`, then parts of `part` until the server closes or 64 MB are
+  /// written; returns the bytes written.
+  std::size_t WriteEndlessly(const std::string& head, const std::string& part) {
+    constexpr std::size_t kEnd = 64 * 1024 * 1024;
+    std::size_t written = 0;
+    bool ended = false;
+    SpawnTask(io_, [&](asio::yield_context yield) {
+      boost::system::error_code ec;
+      asio::ip::tcp::socket caller(io_);
+      caller.connect({asio::ip::address_v4::loopback(), server_->port()}, ec);
+      asio::async_write(caller, asio::buffer(head), yield[ec]);
+      while (!ec && written < kEnd) {
+        written += asio::async_write(caller, asio::buffer(part), yield[ec]);
+      }
+      ended = true;
+    });
+    for (int i = 0; i < 500 && !ended; ++i) {
+      io_.restart();
+      io_.run_for(milliseconds(10));
+    }
+    EXPECT_TRUE(ended);
+    return written;
+  }
+
+  asio::io_context io_;
+  std::unique_ptr<http_server> server_;
+};
+
+const char kChunkedHead[] =
+    "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+// Covers what is discarded after an error, and the sockets' buffers.
+constexpr std::size_t kEnough = 24 * 1024 * 1024;
+
+// Guards against a request without end that ends the process for want of
+// memory, in each part of a request that a parser keeps until it is whole.
+TEST_F(bounded_server, ChunkExtensionWithoutEndIsCut) {
+  Listen({});
+  EXPECT_LT(WriteEndlessly(std::string(kChunkedHead) + "4;x=",
+                           std::string(65536, 'x')),
+            kEnough);
+}
+
+TEST_F(bounded_server, TrailerWithoutEndIsCut) {
+  Listen({});
+  EXPECT_LT(WriteEndlessly(std::string(kChunkedHead) + "0\r\nX: ",
+                           std::string(65536, 'x')),
+            kEnough);
+}
+
+TEST_F(bounded_server, HeadWithoutEndIsCut) {
+  Listen({});
+  EXPECT_LT(WriteEndlessly("GET / HTTP/1.1\r\nX: ", std::string(65536, 'x')),
+            kEnough);
+}
+
+TEST_F(bounded_server, BodyWithoutEndIsCut) {
+  Listen({});
+  EXPECT_LT(WriteEndlessly(kChunkedHead,
+                           "10000\r\n" + std::string(65536, 'x') + "\r\n"),
+            kEnough);
+}
+
+// Guards against requests that together take the memory of the process; what
+// cannot be held is refused, and served later.
+TEST_F(bounded_server, BodiesOfAllConnectionsShareABudget) {
+  http_limits limits;
+  limits.memory = std::make_shared<byte_budget>(300 * 1024);
+  Listen(limits);
+  const std::string request =
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n" +
+      std::string(200000, 'x');
+  const auto ask = [&](int count) {
+    std::vector<std::string> heads(count);
+    for (auto& head : heads) {
+      SpawnTask(io_, [&](asio::yield_context yield) {
+        boost::system::error_code ec;
+        asio::ip::tcp::socket caller(io_);
+        caller.connect({asio::ip::address_v4::loopback(), server_->port()}, ec);
+        asio::async_write(caller, asio::buffer(request), yield[ec]);
+        head.resize(12);
+        asio::async_read(caller, asio::buffer(head), yield[ec]);
+      });
+    }
+    io_.restart();
+    io_.run_for(milliseconds(1500));
+    std::sort(heads.begin(), heads.end());
+    return heads;
+  };
+  EXPECT_EQ(ask(2), (std::vector<std::string>{"HTTP/1.1 200", "HTTP/1.1 503"}));
+  EXPECT_EQ(ask(1), (std::vector<std::string>{"HTTP/1.1 200"}));
+}
+
 }  // namespace
 }  // namespace bluebell::gateway
--- a/packages/store/http_object_store.cpp
+++ b/packages/store/http_object_store.cpp
@@ -13,6 +13,7 @@
 #include <utility>
 
 #include "base/address.h"
+#include "base/byte_budget.h"
 
 namespace bluebell::store {
 namespace {
@@ -226,7 +227,7 @@
   steady::time_point deadline_;
   std::unique_ptr<beast::tcp_stream> stream_;
   http::request<http::string_body> http_request_;
-  beast::flat_buffer buffer_;
+  beast::flat_buffer buffer_{kMaxUnparsedBytes};
   std::optional<http::response_parser<http::string_body>> parser_;
   // Index of the first endpoint, failed connects, and index of the current one.
   std::size_t first_endpoint_ = 0;
