hosted: a name that is no UTF-8 does not end a host

Cause: the name went unchecked from the caller to the order, where writing JSON throws, and an exception of any task ended the process.

Change: names are checked where they are decoded, in requests and in the digests of older builds; an exception ends its request, and a loop of the host begins again.

--- a/packages/edge/edge_host.cpp
+++ b/packages/edge/edge_host.cpp
@@ -2,8 +2,11 @@
 
 #include <fmt/format.h>
 
+#include <exception>
+#include <functional>
 #include <map>
 #include <random>
+#include <utility>
 
 #include "edge/digest_exchange.h"
 #include "edge/edge_state.h"
@@ -33,15 +36,21 @@
 constexpr milliseconds kLastAnswersPeriod{400};
 // Limits these log lines to one per second and engine or part.
 constexpr milliseconds kChangeLogInterval{1000};
+// A loop that fails again and again must not take the processor.
+constexpr milliseconds kTaskRestartDelay{500};
 
-http_server::error_handler RejectMalformed(const request_dialect& dialect) {
-  return [&dialect](problem_code code, const std::string&) {
+http_server::error_handler RejectMalformed(edge_state& host) {
+  return [&host](problem_code code, const std::string& detail) {
+    if (code == problem_code::kInternalError) {
+      host.log.Write("request_failed", {{"detail", detail}});
+    }
     int status = 400;
     if (code == problem_code::kHeadersTooLarge) status = 431;
     if (code == problem_code::kBodyTooLarge) status = 413;
     if (code == problem_code::kRequestTimeout) status = 408;
     if (code == problem_code::kNotReady) status = 503;
-    return dialect.LocalAnswer(status, request_id(), std::nullopt);
+    if (code == problem_code::kInternalError) status = 502;
+    return host.dialect.LocalAnswer(status, request_id(), std::nullopt);
   };
 }
 
@@ -61,6 +70,23 @@
   return limits;
 }
 
+// Runs `loop`, which never ends, and begins it again after an exception.
+void SpawnLoop(edge_state& host, const char* name,
+               std::function<void(boost::asio::yield_context)> loop) {
+  gateway::SpawnTask(host.io, [&host, name, loop = std::move(loop)](
+                                  boost::asio::yield_context yield) {
+    while (true) {
+      try {
+        return loop(yield);
+      } catch (const std::exception& failure) {
+        host.log.Write("task_failed",
+                       {{"task", name}, {"detail", failure.what()}});
+      }
+      Pause(host.io, kTaskRestartDelay, yield);
+    }
+  });
+}
+
 std::string NewIncarnation() {
   std::random_device source;
   return std::to_string(source()) + "-" + std::to_string(source());
@@ -193,8 +219,9 @@
                           gateway::http_limits limits,
                           http_server::handler handler) {
     limits.memory = host->state.memory;
-    auto server = http_server::Listen(
-        context, address, limits, std::move(handler), RejectMalformed(dialect));
+    auto server =
+        http_server::Listen(context, address, limits, std::move(handler),
+                            RejectMalformed(host->state));
     if (!server) {
       failed = server.error();
       return std::unique_ptr<http_server>();
@@ -254,31 +281,33 @@
       });
   if (failed) return tl::unexpected(*failed);
 
-  gateway::SpawnTask(context,
-                     [host](auto yield) { host->sync.RunConfig(yield); });
-  gateway::SpawnTask(context,
-                     [host](auto yield) { host->sync.RunEngines(yield); });
-  gateway::SpawnTask(context,
-                     [host](auto yield) { host->sync.RunFollow(yield); });
-  gateway::SpawnTask(context,
-                     [host](auto yield) { host->exchange->RunReceive(yield); });
-  gateway::SpawnTask(context,
-                     [host](auto yield) { host->exchange->RunSend(yield); });
-  gateway::SpawnTask(
-      context, [host](auto yield) { host->exchange->RunHostListing(yield); });
-  gateway::SpawnTask(context,
-                     [host](auto yield) { host->placement->RunLease(yield); });
-  gateway::SpawnTask(
-      context, [host](auto yield) { host->placement->RunPlanning(yield); });
-  gateway::SpawnTask(context,
-                     [host](auto yield) { host->quarantine.Run(yield); });
-  gateway::SpawnTask(context,
-                     [host](auto yield) { host->versions.RunTables(yield); });
-  gateway::SpawnTask(context,
-                     [host](auto yield) { host->versions.RunStarts(yield); });
-  gateway::SpawnTask(context, [host](auto yield) { host->starts.Run(yield); });
-  gateway::SpawnTask(context, [host](auto yield) { host->room.Run(yield); });
-  gateway::SpawnTask(context, [host](auto yield) { host->prober.Run(yield); });
+  SpawnLoop(host->state, "config",
+            [host](auto yield) { host->sync.RunConfig(yield); });
+  SpawnLoop(host->state, "engines",
+            [host](auto yield) { host->sync.RunEngines(yield); });
+  SpawnLoop(host->state, "follow",
+            [host](auto yield) { host->sync.RunFollow(yield); });
+  SpawnLoop(host->state, "receive",
+            [host](auto yield) { host->exchange->RunReceive(yield); });
+  SpawnLoop(host->state, "send",
+            [host](auto yield) { host->exchange->RunSend(yield); });
+  SpawnLoop(host->state, "hosts",
+            [host](auto yield) { host->exchange->RunHostListing(yield); });
+  SpawnLoop(host->state, "lease",
+            [host](auto yield) { host->placement->RunLease(yield); });
+  SpawnLoop(host->state, "planning",
+            [host](auto yield) { host->placement->RunPlanning(yield); });
+  SpawnLoop(host->state, "quarantine",
+            [host](auto yield) { host->quarantine.Run(yield); });
+  SpawnLoop(host->state, "tables",
+            [host](auto yield) { host->versions.RunTables(yield); });
+  SpawnLoop(host->state, "starts",
+            [host](auto yield) { host->versions.RunStarts(yield); });
+  SpawnLoop(host->state, "start_exchange",
+            [host](auto yield) { host->starts.Run(yield); });
+  SpawnLoop(host->state, "room", [host](auto yield) { host->room.Run(yield); });
+  SpawnLoop(host->state, "prober",
+            [host](auto yield) { host->prober.Run(yield); });
   gateway::SpawnTask(context, [host](auto yield) {
     LogChanges(host->state, host->quarantine, yield);
   });
--- a/packages/edge/request_dialect.h
+++ b/packages/edge/request_dialect.h
@@ -21,6 +21,8 @@
 
 /// Values parsed from the header fields of a caller's request.
 struct caller_request {
+  /// Names of models and adapters are UTF-8.
+  bool readable = true;
   /// Unique to one attempt of a caller.
   request_id id;
   /// Host name used to select the route.
--- a/packages/edge/request_forward.cpp
+++ b/packages/edge/request_forward.cpp
@@ -94,6 +94,7 @@
   if (config_ == nullptr || config_->version < forwarded_->config_version) {
     return Refuse(503, "no_configuration", kRetryNow);
   }
+  if (!caller_.readable) return Refuse(400, "name_unreadable", std::nullopt);
   route_ = config_->FindRoute(caller_.host, received_.path);
   if (route_ == nullptr) return Refuse(503, "no_route", kRetryNow);
   const auto time_limit =
--- a/packages/gateway/http_server.cpp
+++ b/packages/gateway/http_server.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <exception>
 #include <map>
 #include <optional>
 #include <set>
@@ -401,7 +402,7 @@
                              status_.position, keep_alive);
     detector->Start();
     ++state_->open_requests;
-    state_->on_request(request, writer, yield);
+    Serve(request, writer, yield);
     --state_->open_requests;
     detector->Stop();
     if (writer.progress() == response_progress::kComplete ||
@@ -411,6 +412,19 @@
     return writer.reusable();
   }
 
+  // An exception ends the request only.
+  void Serve(const http_request& request, connection_writer& writer,
+             asio::yield_context yield) {
+    try {
+      state_->on_request(request, writer, yield);
+    } catch (const std::exception& failure) {
+      if (writer.started()) return writer.AbortStream();
+      writer.SendResponse(state_->on_request_error(problem_code::kInternalError,
+                                                   failure.what()),
+                          yield);
+    }
+  }
+
   bool SendRequestError(const io_error& ec, asio::yield_context yield) {
     const auto code = ToProblem(ec);
     if (!code) return false;
--- a/packages/gateway/network.cpp
+++ b/packages/gateway/network.cpp
@@ -1,5 +1,7 @@
 #include "gateway/network.h"
 
+#include <exception>
+#include <iostream>
 #include <utility>
 
 namespace bluebell::gateway {
@@ -22,7 +24,14 @@
                std::function<void(asio::yield_context)> task) {
   asio::spawn(
       context,
-      [task = std::move(task)](asio::yield_context yield) { task(yield); },
+      [task = std::move(task)](asio::yield_context yield) {
+        try {
+          task(yield);
+        } catch (const std::exception& failure) {
+          std::cerr << "task ended by an exception: " << failure.what()
+                    << std::endl;
+        }
+      },
       boost::coroutines::attributes(kStackBytes));
 }
 
--- a/packages/gateway/network.h
+++ b/packages/gateway/network.h
@@ -11,7 +11,7 @@
 void DisableNagle(boost::asio::ip::tcp::socket& socket);
 
 /// Runs `task` as a coroutine with a stack large enough for the request
-/// pipeline.
+/// pipeline. An exception ends the task, and is reported on standard error.
 void SpawnTask(boost::asio::io_context& context,
                std::function<void(boost::asio::yield_context)> task);
 
--- a/packages/gateway/tests/http_server_test.cpp
+++ b/packages/gateway/tests/http_server_test.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -73,6 +74,41 @@
   io.run_for(milliseconds(200));
 }
 
+// Guards against an exception in one request that ends the process.
+TEST(http_server, ExceptionEndsItsRequestOnly) {
+  asio::io_context io;
+  int handled = 0;
+  auto server = http_server::Listen(
+      io, "127.0.0.1:0", {},
+      [&](const auto&, auto&, auto) {
+        ++handled;
+        throw std::runtime_error("fault");
+      },
+      [](auto code, const auto&) {
+        http_response answer;
+        answer.status = Describe(code).http_status;
+        return answer;
+      });
+  ASSERT_TRUE(server);
+  for (int i = 0; i < 2; ++i) {
+    asio::ip::tcp::socket caller(io);
+    caller.connect({asio::ip::address_v4::loopback(), (*server)->port()});
+    asio::write(caller, asio::buffer(std::string("GET / HTTP/1.1\r\n"
+                                                 "Host: h\r\n\r\n")));
+    io.restart();
+    io.run_for(milliseconds(100));
+    std::string head(12, ' ');
+    boost::system::error_code ec;
+    asio::read(caller, asio::buffer(head), ec);
+    EXPECT_EQ(head, "HTTP/1.1 500");
+    EXPECT_EQ((*server)->open_requests(), 0U);
+  }
+  EXPECT_EQ(handled, 2);
+  server->reset();
+  io.restart();
+  io.run_for(milliseconds(200));
+}
+
 /// A server whose requests are answered after 100 ms.
 class bounded_server : public testing::Test {
  protected:
--- a/packages/serving/host_digest.cpp
+++ b/packages/serving/host_digest.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/utf8.h"
 #include "serving/limit_codec.h"
 
 namespace bluebell::serving {
@@ -258,9 +259,12 @@
     digest.outcomes = DecodeOutcomes(in);
     if (in.contains("wants")) {
       for (const auto& row : in["wants"]) {
+        const auto model = row.at(0).get<std::string>();
+        const auto adapter = row.at(1).get<std::string>();
+        // A host of an older build passes on what a caller names.
+        if (!IsUtf8(model) || !IsUtf8(adapter)) continue;
         digest.adapter_requests.push_back(
-            {model_id(row.at(0).get<std::string>()),
-             adapter_id(row.at(1).get<std::string>())});
+            {model_id(model), adapter_id(adapter)});
       }
     }
     if (in.contains("notices")) {
