http_server: answer a failed request outside the exception handler

Found by reading the change before: the response was written inside the handler, where the coroutine may be suspended while another one throws or catches; the runtime keeps one stack of caught exceptions per thread. ExceptionEndsItsRequestOnly covers the answer, not the overlap.

--- a/packages/gateway/http_server.cpp
+++ b/packages/gateway/http_server.cpp
@@ -412,17 +412,20 @@
     return writer.reusable();
   }
 
-  // An exception ends the request only.
+  // An exception ends the request only. Its handler must not suspend the
+  // coroutine: the runtime keeps one stack of caught exceptions per thread.
   void Serve(const http_request& request, connection_writer& writer,
              asio::yield_context yield) {
+    std::string failed;
     try {
       state_->on_request(request, writer, yield);
+      return;
     } catch (const std::exception& failure) {
-      if (writer.started()) return writer.AbortStream();
-      writer.SendResponse(state_->on_request_error(problem_code::kInternalError,
-                                                   failure.what()),
-                          yield);
+      failed = failure.what();
     }
+    if (writer.started()) return writer.AbortStream();
+    writer.SendResponse(
+        state_->on_request_error(problem_code::kInternalError, failed), yield);
   }
 
   bool SendRequestError(const io_error& ec, asio::yield_context yield) {
