serving: one piece of code for messages in CBOR

room_messages and start_messages wrote again what permit_messages had: the encoding to bytes, and the turning of a JSON exception into an error. No message changes; an unused include goes.

Run: the plain tests of messages, room, limits, versions and digests (39), two host tests, and the linter on the four files. Sanitized tests were not run on this commit.

--- a/packages/edge/room_exchange.cpp
+++ b/packages/edge/room_exchange.cpp
@@ -3,7 +3,6 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <cmath>
 
 #include "edge/pause.h"
 #include "serving/room_messages.h"
--- /dev/null
+++ b/packages/serving/cbor_message.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <string>
+#include <string_view>
+
+#include "base/result.h"
+
+namespace bluebell::serving {
+
+/// A message as a CBOR datagram.
+inline std::string ToBytes(const nlohmann::json& message) {
+  const auto bytes = nlohmann::json::to_cbor(message);
+  return {bytes.begin(), bytes.end()};
+}
+
+/// Applies `decode` to the message in `bytes`. Error `kInvalidArgument` if
+/// either throws `nlohmann::json::exception`.
+template <class Decode>
+auto Decoded(std::string_view bytes, const Decode& decode)
+    -> result<decltype(decode(nlohmann::json()))> {
+  try {
+    return decode(nlohmann::json::from_cbor(bytes.begin(), bytes.end()));
+  } catch (const nlohmann::json::exception& failure) {
+    return Fail(error_code::kInvalidArgument, failure.what());
+  }
+}
+
+}  // namespace bluebell::serving
--- a/packages/serving/room_messages.cpp
+++ b/packages/serving/room_messages.cpp
@@ -1,6 +1,6 @@
 #include "serving/room_messages.h"
 
-#include <nlohmann/json.hpp>
+#include "serving/cbor_message.h"
 
 namespace bluebell::serving {
 namespace {
@@ -8,22 +8,6 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
-std::string ToBytes(const json& message) {
-  const auto bytes = json::to_cbor(message);
-  return {bytes.begin(), bytes.end()};
-}
-
-// Applies `decode` to the message in `bytes`.
-template <class Decode>
-auto Decoded(std::string_view bytes, const Decode& decode)
-    -> result<decltype(decode(json()))> {
-  try {
-    return decode(json::from_cbor(bytes.begin(), bytes.end()));
-  } catch (const json::exception& failure) {
-    return Fail(error_code::kInvalidArgument, failure.what());
-  }
-}
-
 }  // namespace
 
 std::string EncodeRoomRequest(const room_request& request) {
--- a/packages/serving/start_messages.cpp
+++ b/packages/serving/start_messages.cpp
@@ -1,18 +1,14 @@
 #include "serving/start_messages.h"
 
 #include <map>
-#include <nlohmann/json.hpp>
+
+#include "serving/cbor_message.h"
 
 namespace bluebell::serving {
 namespace {
 
 using nlohmann::json;
 
-std::string ToBytes(const json& message) {
-  const auto bytes = json::to_cbor(message);
-  return {bytes.begin(), bytes.end()};
-}
-
 }  // namespace
 
 std::string EncodeStartReport(const std::vector<stream_start>& starts) {
@@ -24,8 +20,7 @@
 }
 
 result<std::vector<stream_start>> DecodeStartReport(std::string_view bytes) {
-  try {
-    const json in = json::from_cbor(bytes.begin(), bytes.end());
+  return Decoded(bytes, [](const json& in) {
     std::vector<stream_start> starts;
     for (const auto& [software, attempts] : in.at("starts").items()) {
       for (const auto& attempt : attempts) {
@@ -34,9 +29,7 @@
       }
     }
     return starts;
-  } catch (const json::exception& failure) {
-    return Fail(error_code::kInvalidArgument, failure.what());
-  }
+  });
 }
 
 std::string EncodeStartQuery(const std::vector<request_id>& attempts) {
@@ -46,16 +39,13 @@
 }
 
 result<std::vector<request_id>> DecodeStartQuery(std::string_view bytes) {
-  try {
-    const json in = json::from_cbor(bytes.begin(), bytes.end());
+  return Decoded(bytes, [](const json& in) {
     std::vector<request_id> attempts;
     for (const auto& attempt : in.at("wanted")) {
       attempts.emplace_back(attempt.get<std::string>());
     }
     return attempts;
-  } catch (const json::exception& failure) {
-    return Fail(error_code::kInvalidArgument, failure.what());
-  }
+  });
 }
 
 }  // namespace bluebell::serving
