serving: bound the nesting of datagrams

Seen: one datagram of 60,000 bytes 0x81 (arrays within arrays) on the port for digests ends the process. The CBOR reader recurses once per level, and datagrams are decoded on the stack of a coroutine (512 KB). The frames between hosts of the other program have had a bound on their nesting for long; the datagrams of hosted entry hosts did not get it when they were added. The test that was there for unreadable datagrams used random and truncated ones only, on the main stack of 8 MB.

Now every datagram is read by ParseCbor, which rejects more than 32 levels before the document is built.

Text documents were checked by reading the code: their parser and destructor do not recurse.

--- a/packages/serving/cbor_message.h
+++ b/packages/serving/cbor_message.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <string_view>
 
+#include "base/cbor.h"
 #include "base/result.h"
 
 namespace bluebell::serving {
@@ -20,7 +21,7 @@
 auto Decoded(std::string_view bytes, const Decode& decode)
     -> result<decltype(decode(nlohmann::json()))> {
   try {
-    return decode(nlohmann::json::from_cbor(bytes.begin(), bytes.end()));
+    return decode(ParseCbor(bytes));
   } catch (const nlohmann::json::exception& failure) {
     return Fail(error_code::kInvalidArgument, failure.what());
   }
--- a/packages/serving/host_digest.cpp
+++ b/packages/serving/host_digest.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/cbor.h"
 #include "base/utf8.h"
 #include "serving/limit_codec.h"
 
@@ -250,7 +251,7 @@
 
 result<host_digest> DecodeDigest(std::string_view bytes) {
   try {
-    const json in = json::from_cbor(bytes.begin(), bytes.end());
+    const json in = ParseCbor(bytes);
     host_digest digest;
     digest.host = host_id(in.at("host").get<std::string>());
     digest.incarnation = in.at("inc").get<std::string>();
--- a/packages/serving/sync_messages.cpp
+++ b/packages/serving/sync_messages.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/cbor.h"
+
 namespace bluebell::serving {
 namespace {
 
@@ -65,7 +67,7 @@
 
 result<sync_request> DecodeSyncRequest(std::string_view bytes) {
   try {
-    const json in = json::from_cbor(bytes.begin(), bytes.end());
+    const json in = ParseCbor(bytes);
     return sync_request{in.at(0).get<std::uint64_t>(),
                         in.at(1).get<std::string>(),
                         in.at(2).get<std::uint64_t>()};
@@ -100,7 +102,7 @@
 
 result<sync_response> DecodeSyncResponse(std::string_view bytes) {
   try {
-    const json in = json::from_cbor(bytes.begin(), bytes.end());
+    const json in = ParseCbor(bytes);
     sync_response response;
     response.number = in.at(0).get<std::uint64_t>();
     response.config_version = in.at(1).get<std::uint64_t>();
