gateway: stacks of coroutines with a guard page, allocated by SpawnTask

Seen: under a limit on data of 260 MB the process ends by std::bad_alloc at about 500 open connections, and what it holds is not given back. asio::spawn takes the stack (512 KB, sized for sanitizers) from malloc, within a handler: a failure there leaves io_context::run. malloc keeps freed stacks in its heap, and nothing lies between a stack and its neighbour.

--- a/packages/gateway/network.cpp
+++ b/packages/gateway/network.cpp
@@ -1,17 +1,39 @@
 #include "gateway/network.h"
 
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/bind_executor.hpp>
+#include <boost/asio/dispatch.hpp>
 #include <exception>
 #include <iostream>
+#include <memory>
 #include <utility>
 
+#include "gateway/task_stack.h"
+
 namespace bluebell::gateway {
 namespace {
 
 namespace asio = boost::asio;
 
-// Sized for the larger stack frames of sanitizer builds. Untouched pages use
-// no memory.
-constexpr std::size_t kStackBytes = 512 * 1024;
+using coroutine = asio::yield_context::callee_type;
+using resumer = asio::yield_context::caller_type;
+// The handler type of `asio::yield_context`; only its executor is used.
+using task_handler = asio::executor_binder<void (*)(), asio::any_io_executor>;
+
+struct task_state {
+  std::function<void(asio::yield_context)> task;
+  task_handler handler;
+  std::weak_ptr<coroutine> self;
+};
+
+void RunTask(task_state& state, resumer& resume) {
+  const asio::yield_context yield(state.self, resume, state.handler);
+  try {
+    state.task(yield);
+  } catch (const std::exception& failure) {
+    std::cerr << "task ended by an exception: " << failure.what() << std::endl;
+  }
+}
 
 }  // namespace
 
@@ -20,19 +42,20 @@
   socket.set_option(asio::ip::tcp::no_delay(true), ignored);
 }
 
+// Like `asio::spawn`, which accepts no stack allocator and allocates the stack
+// in a handler, where a failure cannot be caught.
 void SpawnTask(asio::io_context& context,
                std::function<void(asio::yield_context)> task) {
-  asio::spawn(
-      context,
-      [task = std::move(task)](asio::yield_context yield) {
-        try {
-          task(yield);
-        } catch (const std::exception& failure) {
-          std::cerr << "task ended by an exception: " << failure.what()
-                    << std::endl;
-        }
-      },
-      boost::coroutines::attributes(kStackBytes));
+  const auto state = std::make_shared<task_state>(task_state{
+      std::move(task),
+      task_handler(asio::executor_arg_t(), context.get_executor(), [] {}),
+      {}});
+  const auto created = std::make_shared<coroutine>(
+      [state](resumer& resume) { RunTask(*state, resume); },
+      boost::coroutines::attributes(task_stack_allocator::stack_bytes()),
+      task_stack_allocator());
+  state->self = created;
+  asio::dispatch(context, [created] { (*created)(); });
 }
 
 }  // namespace bluebell::gateway
--- /dev/null
+++ b/packages/gateway/task_stack.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <boost/coroutine/stack_context.hpp>
+#include <cstddef>
+
+namespace bluebell::gateway {
+
+/// Allocates the stacks of coroutines. A page without access below each stack
+/// turns an overflow into a fault. Some unused stacks are kept for the next
+/// coroutines of the thread; the others go back to the system.
+class task_stack_allocator {
+ public:
+  /// Size of each stack.
+  static std::size_t stack_bytes();
+
+  /// Throws `std::bad_alloc`. The size is `stack_bytes()`, whatever is asked.
+  void allocate(boost::coroutines::stack_context& stack, std::size_t);
+  void deallocate(boost::coroutines::stack_context& stack);
+};
+
+}  // namespace bluebell::gateway
