http_server: make room for new connections; name the cause of each end

Seen: (1) with 3,500 idle connections under the data limit of a site the process ends by std::bad_alloc; (2) 1,000 idle connections at a limit of 400 descriptors shut out all others, and leave the host no descriptor, until they time out; (3) an exception in the accept loop ends accepting for good; (4) a connection that ends without an answer does not tell why.

Cause: each connection held a coroutine for its life, there was no bound on connections short of the process's descriptors, and nothing caught the exception.

Now a connection waits for the first byte of a request with plain callbacks; a coroutine is created for the request and ends with it, and its buffer is given back. A listener has a bound on its connections (half of the descriptors, if no other is set). When it is reached, or accept fails, the connection that has been idle longest and has nothing to read is closed; if there is none, the new one is closed and reported. An allocation that fails ends one connection. Connections and coroutines count in the memory budget, and requests whose head is incomplete give way first. The end of each connection has a cause.

Before the wait for a request ends by a time-out or by StopAccepting, the socket is looked at once more, and a request that has arrived is served. The tests for that pass on the code before, too: a dropped request was not reproduced.

Failed before (connection_memory_test, connection_room_test on the code before): - IdleConnectionsOfASiteLeaveMemoryForRequests and FailedAllocationRefusesItsConnectionOnly: the server process ended, "connect: Connection refused"; - IdleConnectionsGiveWayToNewOnes: late.ReadStatus(5000 ms) is 0 instead of 200. All pass now. connection_end_test tests the new interface.

--- a/packages/gateway/http_server.cpp
+++ b/packages/gateway/http_server.cpp
@@ -1,14 +1,19 @@
 #include "gateway/http_server.h"
 
+#include <sys/resource.h>
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <cerrno>
 #include <exception>
+#include <list>
 #include <map>
+#include <new>
 #include <optional>
-#include <set>
 
 #include "base/address.h"
 #include "gateway/network.h"
@@ -26,8 +31,30 @@
 using tcp = asio::ip::tcp;
 using io_error = boost::system::error_code;
 
+class connection;
+
+// What a socket has to read.
+enum class socket_input { kNothing, kBytes, kEnd };
+
+// Looks at a socket without reading from it.
+socket_input Peek(tcp::socket& socket) {
+  char byte = 0;
+  const auto count =
+      recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (count > 0) return socket_input::kBytes;
+  const bool waits = count < 0 && (errno == EAGAIN || errno == EINTR);
+  return waits ? socket_input::kNothing : socket_input::kEnd;
+}
+
 }  // namespace
 
+std::size_t DescriptorLimit() {
+  constexpr std::size_t kMost = 1'000'000;
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) return kMost;
+  return std::min<std::size_t>(limit.rlim_cur, kMost);
+}
+
 const char* ToString(connection_phase phase) {
   switch (phase) {
     case connection_phase::kIdle:
@@ -42,6 +69,56 @@
   return "";
 }
 
+const char* ToString(connection_cause cause) {
+  switch (cause) {
+    case connection_cause::kNone:
+      return "open";
+    case connection_cause::kAnswered:
+      return "answered";
+    case connection_cause::kCallerClosed:
+      return "caller_closed";
+    case connection_cause::kReadFailed:
+      return "read_failed";
+    case connection_cause::kIdleTimeout:
+      return "idle_timeout";
+    case connection_cause::kHeadTimeout:
+      return "head_timeout";
+    case connection_cause::kBodyTimeout:
+      return "body_timeout";
+    case connection_cause::kWriteTimeout:
+      return "write_timeout";
+    case connection_cause::kWriteFailed:
+      return "write_failed";
+    case connection_cause::kRejected:
+      return "rejected";
+    case connection_cause::kNoMemory:
+      return "no_memory";
+    case connection_cause::kAborted:
+      return "aborted";
+    case connection_cause::kNoAnswer:
+      return "no_answer";
+    case connection_cause::kException:
+      return "exception";
+    case connection_cause::kMadeRoom:
+      return "made_room";
+    case connection_cause::kStopped:
+      return "stopped";
+  }
+  return "";
+}
+
+const char* ToString(refusal reason) {
+  switch (reason) {
+    case refusal::kNoRoom:
+      return "no_room";
+    case refusal::kNoMemory:
+      return "no_memory";
+    case refusal::kAcceptFailed:
+      return "accept_failed";
+  }
+  return "";
+}
+
 /// State shared by the connections of one listener.
 struct http_server::state {
   state(asio::io_context& io, http_limits bounds, handler request,
@@ -61,11 +138,14 @@
   std::size_t open_requests = 0;
   std::uint64_t next_connection = 0;
   /// Open connections by number.
-  std::map<std::uint64_t, connection_status> connections;
+  std::map<std::uint64_t, const connection_status*> connections;
   std::function<void(const connection_status&)> on_connection_end;
+  std::function<void(refusal, const std::string&)> on_refusal;
   bool close_after_responses = false;
-  /// Connections that wait for the first byte of a request.
-  std::set<beast::tcp_stream*> idle;
+  /// Connections that wait for the first byte of a request, and those that wait
+  /// for the rest of its head; the longest first.
+  std::list<connection*> idle;
+  std::list<connection*> reading_head;
   asio::steady_timer linger;
 };
 
@@ -106,14 +186,9 @@
 
  private:
   void Check() {
-    char byte = 0;
-    io_error ec;
-    const bool was_non_blocking = socket_.non_blocking();
-    socket_.non_blocking(true, ec);
-    socket_.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
-    io_error ignored;
-    socket_.non_blocking(was_non_blocking, ignored);
-    if (ec && ec != asio::error::would_block) MarkDisconnected();
+    if (!socket_.is_open() || Peek(socket_) == socket_input::kEnd) {
+      MarkDisconnected();
+    }
   }
 
   tcp::socket& socket_;
@@ -189,6 +264,10 @@
   }
 
   void AbortStream() override {
+    if (!broken_) {
+      cause_ = detector_->disconnected() ? connection_cause::kCallerClosed
+                                         : connection_cause::kAborted;
+    }
     broken_ = true;
     io_error ignored;
     stream_.socket().close(ignored);
@@ -210,10 +289,23 @@
 
   /// Whether the connection may carry another request.
   bool reusable() const { return finished_ && keep_alive_; }
+  /// Why the connection ends after this response, if not `reusable`.
+  connection_cause cause() const {
+    if (cause_ != connection_cause::kNone) return cause_;
+    if (finished_) return connection_cause::kAnswered;
+    return detector_->disconnected() ? connection_cause::kCallerClosed
+                                     : connection_cause::kNoAnswer;
+  }
+  const std::string& detail() const { return detail_; }
 
  private:
   void CheckWrite(const io_error& ec) {
     if (!ec) return;
+    if (!broken_) {
+      cause_ = ec == beast::error::timeout ? connection_cause::kWriteTimeout
+                                           : connection_cause::kWriteFailed;
+      detail_ = ec.message();
+    }
     broken_ = true;
     detector_->MarkDisconnected();
   }
@@ -226,6 +318,8 @@
   bool started_ = false;
   bool finished_ = false;
   bool broken_ = false;
+  connection_cause cause_ = connection_cause::kNone;
+  std::string detail_;
 };
 
 using request_parser = http::request_parser<http::string_body>;
@@ -285,6 +379,22 @@
   return std::nullopt;
 }
 
+// Why a connection ends after a failed read.
+connection_cause ToCause(const io_error& ec, bool head_read) {
+  if (ec == beast::error::timeout) {
+    return head_read ? connection_cause::kBodyTimeout
+                     : connection_cause::kHeadTimeout;
+  }
+  if (ec == boost::system::errc::not_enough_memory)
+    return connection_cause::kNoMemory;
+  if (ec == http::error::end_of_stream || ec == http::error::partial_message ||
+      ec == asio::error::eof) {
+    return connection_cause::kCallerClosed;
+  }
+  return ToProblem(ec) ? connection_cause::kRejected
+                       : connection_cause::kReadFailed;
+}
+
 http_request ToRequest(http::request<http::string_body>&& message) {
   http_request request;
   request.method = std::string(message.method_string());
@@ -308,27 +418,155 @@
         stream_(std::move(socket)),
         held_(state_->limits.memory),
         number_(++state_->next_connection),
-        status_(state_->connections[number_]) {
+        timer_(state_->context) {
     status_.position.connection = number_;
+    state_->connections.emplace(number_, &status_);
   }
-  ~connection() {
-    const connection_status last = status_;
-    state_->connections.erase(number_);
-    if (state_->on_connection_end) state_->on_connection_end(last);
-  }
+  ~connection() { End(connection_cause::kAborted, "not finished"); }
   connection(const connection&) = delete;
   connection& operator=(const connection&) = delete;
 
-  void Run(asio::yield_context yield) {
+  /// Returns false if there is no memory for the connection.
+  bool Start() {
+    if (!Hold(0)) return false;
     DisableNagle(stream_.socket());
-    while (ServeOne(yield)) {
-      status_.phase = connection_phase::kIdle;
-    }
+    Await();
+    return true;
+  }
+
+  /// Ends a connection that waits for a request and has nothing to read.
+  /// Returns false if it has a request to read.
+  bool EndIfIdle(connection_cause cause) {
+    const auto input = Peek(stream_.socket());
+    if (input == socket_input::kBytes) return false;
+    End(input == socket_input::kEnd ? connection_cause::kCallerClosed : cause);
+    return true;
+  }
+
+  /// The wait for a request has ended: serves what arrived at the last moment,
+  /// or ends the connection.
+  void EndWait(connection_cause cause) {
+    if (!waiting_ || EndIfIdle(cause)) return;
     io_error ignored;
-    stream_.socket().shutdown(tcp::socket::shutdown_both, ignored);
+    stream_.socket().cancel(ignored);
+    ServeRequests();
+  }
+
+  /// Gives back the memory of a request that was not read in full.
+  void GiveUpRequest() {
+    End(connection_cause::kMadeRoom);
+    held_.Resize(0);
+  }
+
+  /// Closes the connection; only the first call has an effect.
+  void End(connection_cause cause, const std::string& detail = {}) {
+    if (ended_) return;
+    ended_ = true;
+    StopWaiting();
+    if (cause == connection_cause::kCallerClosed &&
+        status_.phase == connection_phase::kIdle) {
+      status_.phase = connection_phase::kClosing;
+    }
+    status_.cause = cause;
+    tcp::socket& socket = stream_.socket();
+    if (socket.is_open()) {
+      status_.unread =
+          buffer_.size() > 0 || Peek(socket) == socket_input::kBytes;
+      io_error ignored;
+      socket.shutdown(tcp::socket::shutdown_both, ignored);
+      stream_.close();
+    }
+    state_->connections.erase(number_);
+    Report(detail);
   }
 
  private:
+  // A destructor may report as well, so this must not fail.
+  void Report(const std::string& detail) {
+    if (!state_->on_connection_end) return;
+    try {
+      status_.detail = detail;
+      state_->on_connection_end(status_);
+    } catch (const std::exception&) {
+      ClearEndedFrames();
+    }
+  }
+
+  // Waits for the first byte of a request, without a coroutine.
+  void Await() {
+    status_.phase = connection_phase::kIdle;
+    buffer_.shrink_to_fit();
+    Hold(0);
+    place_ = state_->idle.insert(state_->idle.end(), this);
+    waiting_ = true;
+    const auto wait = ++waits_;
+    timer_.expires_after(state_->limits.idle_timeout);
+    timer_.async_wait([self = shared_from_this(), wait](const io_error& ec) {
+      if (ec || wait != self->waits_) return;
+      self->EndWait(connection_cause::kIdleTimeout);
+    });
+    AwaitInput();
+  }
+
+  void AwaitInput() {
+    stream_.socket().async_wait(
+        tcp::socket::wait_read,
+        [self = shared_from_this(), wait = waits_](const io_error& ec) {
+          if (wait == self->waits_ && self->waiting_) self->OnInput(ec);
+        });
+  }
+
+  void OnInput(const io_error& ec) {
+    if (ec) return End(connection_cause::kReadFailed, ec.message());
+    switch (Peek(stream_.socket())) {
+      case socket_input::kBytes:
+        return ServeRequests();
+      case socket_input::kEnd:
+        return End(connection_cause::kCallerClosed);
+      case socket_input::kNothing:
+        return AwaitInput();
+    }
+  }
+
+  void StopWaiting() {
+    if (!waiting_) return;
+    waiting_ = false;
+    ++waits_;
+    state_->idle.erase(place_);
+    timer_.cancel();
+  }
+
+  void ServeRequests() {
+    StopWaiting();
+    try {
+      SpawnTask(state_->context,
+                [self = shared_from_this()](asio::yield_context yield) {
+                  self->Run(yield);
+                });
+      return;
+    } catch (const std::bad_alloc&) {
+      ClearEndedFrames();
+    }
+    End(connection_cause::kNoMemory, "no stack");
+  }
+
+  void Run(asio::yield_context yield) {
+    auto cause = connection_cause::kException;
+    std::string detail;
+    try {
+      while (ServeOne(yield)) {
+        if (buffer_.size() == 0) return Await();
+      }
+      return;
+    } catch (const std::bad_alloc&) {
+      cause = connection_cause::kNoMemory;
+    } catch (const std::exception& failure) {
+      detail = failure.what();
+    }
+    ClearEndedFrames();
+    End(cause, detail);
+  }
+
   // Serves one request; returns whether the connection stays open.
   bool ServeOne(asio::yield_context yield) {
     auto parser = std::make_unique<request_parser>();
@@ -339,9 +577,13 @@
         buffer_.size(), state_->limits.max_header_bytes + kReadBytes));
     const io_error ec = Read(*parser, yield);
     if (ec) {
+      const bool head_read = parser->is_header_done();
       parser.reset();
+      if (ended_) return false;
       Hold(0);
-      return SendRequestError(ec, yield);
+      SendRequestError(ec, yield);
+      End(ToCause(ec, head_read), ec.message());
+      return false;
     }
 
     const bool keep_alive =
@@ -358,26 +600,16 @@
 
   io_error Read(request_parser& parser, asio::yield_context yield) {
     io_error ec;
-    if (buffer_.size() == 0) {
-      stream_.expires_after(state_->limits.idle_timeout);
-      state_->idle.insert(&stream_);
-      const std::size_t count =
-          stream_.async_read_some(buffer_.prepare(kReadBytes), yield[ec]);
-      state_->idle.erase(&stream_);
-      if (ec) {
-        status_.phase = connection_phase::kClosing;
-        return ec;
-      }
-      buffer_.commit(count);
-    }
     status_.phase = connection_phase::kReading;
     stream_.expires_never();
+    if (!Hold(0)) return NoMemory();
     {
+      const list_entry entry(state_->reading_head, this);
       read_deadline deadline(stream_.socket(), state_->limits.header_timeout);
       http::async_read_header(stream_, buffer_, parser, yield[ec]);
       if (ec) return deadline.Translate(ec);
-      if (!Hold(0)) return NoMemory();
     }
+    if (!Hold(0)) return NoMemory();
     if (EqualsIgnoringCase(std::string(parser.get()[http::field::expect]),
                            "100-continue")) {
       SendContinue(yield);
@@ -391,9 +623,21 @@
     return deadline.Translate(ec);
   }
 
-  // Takes the memory of the buffer and of a body of `bytes`.
+  // Takes the memory of the connection, its buffer, the coroutine of its
+  // request and a body of `bytes`. Requests whose heads arrive slowly give way.
   bool Hold(std::size_t bytes) {
-    return held_.Resize(buffer_.capacity() + bytes);
+    std::size_t needed = kConnectionBytes + buffer_.capacity() + bytes;
+    if (status_.phase != connection_phase::kIdle) needed += kCoroutineBytes;
+    while (!held_.Resize(needed)) {
+      auto& heads = state_->reading_head;
+      const auto slowest = std::find_if(
+          heads.begin(), heads.end(), [this](const connection* reading) {
+            return reading != this && !reading->ended_;
+          });
+      if (slowest == heads.end()) return false;
+      (*slowest)->GiveUpRequest();
+    }
+    return true;
   }
   static io_error NoMemory() {
     return make_error_code(boost::system::errc::not_enough_memory);
@@ -416,15 +660,17 @@
     connection_writer writer(stream_, state_->limits, detector,
                              status_.position, keep_alive);
     detector->Start();
-    ++state_->open_requests;
-    Serve(request, writer, yield);
-    --state_->open_requests;
-    detector->Stop();
-    if (writer.progress() == response_progress::kComplete ||
-        writer.caller_disconnected()) {
-      status_.phase = connection_phase::kClosing;
+    {
+      const request_mark mark(*state_, status_, request);
+      Serve(request, writer, yield);
+      detector->Stop();
+      if (writer.progress() == response_progress::kComplete ||
+          writer.caller_disconnected()) {
+        status_.phase = connection_phase::kClosing;
+      }
+      if (!writer.reusable()) End(writer.cause(), writer.detail());
     }
-    return writer.reusable();
+    return !ended_;
   }
 
   // An exception ends the request only. Its handler must not suspend the
@@ -444,16 +690,15 @@
         state_->on_request_error(problem_code::kInternalError, failed), yield);
   }
 
-  bool SendRequestError(const io_error& ec, asio::yield_context yield) {
+  void SendRequestError(const io_error& ec, asio::yield_context yield) {
     const auto code = ToProblem(ec);
-    if (!code) return false;
+    if (!code) return;
     const auto detector =
         std::make_shared<disconnect_detector>(stream_.socket());
     connection_writer writer(stream_, state_->limits, detector,
                              status_.position, false);
     writer.SendResponse(state_->on_request_error(*code, ec.message()), yield);
     Linger(yield);
-    return false;
   }
 
   // Lingering close: discards what the caller still sends for a limited time.
@@ -469,35 +714,144 @@
     }
   }
 
+  // Membership of a list for the life of the object.
+  class list_entry {
+   public:
+    list_entry(std::list<connection*>& all, connection* member)
+        : all_(all), place_(all.insert(all.end(), member)) {}
+    ~list_entry() { all_.erase(place_); }
+    list_entry(const list_entry&) = delete;
+    list_entry& operator=(const list_entry&) = delete;
+
+   private:
+    std::list<connection*>& all_;
+    std::list<connection*>::iterator place_;
+  };
+
+  // Marks a request as served for the life of the object.
+  class request_mark {
+   public:
+    request_mark(http_server::state& server, connection_status& status,
+                 const http_request& request)
+        : server_(server), status_(status) {
+      ++server_.open_requests;
+      status_.request = &request;
+    }
+    ~request_mark() {
+      --server_.open_requests;
+      status_.request = nullptr;
+    }
+    request_mark(const request_mark&) = delete;
+    request_mark& operator=(const request_mark&) = delete;
+
+   private:
+    http_server::state& server_;
+    connection_status& status_;
+  };
+
   static constexpr std::size_t kReadBytes = 4096;
   static constexpr std::size_t kLingerBytes = 4 * 1024 * 1024;
   static constexpr std::chrono::seconds kLingerTime{1};
+  static constexpr std::size_t kConnectionBytes = 2048;
+  // The part of its stack that a request usually touches.
+  static constexpr std::size_t kCoroutineBytes = 8192;
 
   std::shared_ptr<http_server::state> state_;
   beast::tcp_stream stream_;
   beast::flat_buffer buffer_;
   byte_share held_;
   std::uint64_t number_;
-  connection_status& status_;
+  connection_status status_;
+  /// Limits the wait for a request.
+  asio::steady_timer timer_;
+  bool waiting_ = false;
+  /// Tells the handlers of the current wait from those of earlier ones.
+  std::uint64_t waits_ = 0;
+  std::list<connection*>::iterator place_;
+  bool ended_ = false;
 };
 
+void Refuse(http_server::state& server, refusal reason,
+            const std::string& detail) {
+  if (!server.on_refusal) return;
+  try {
+    server.on_refusal(reason, detail);
+  } catch (const std::bad_alloc&) {
+    ClearEndedFrames();
+  }
+}
+
+// Closes the connection that has been idle longest; returns false if there is
+// none. A request that has arrived is never dropped.
+bool MakeRoom(http_server::state& server) {
+  for (auto next = server.idle.begin(); next != server.idle.end();) {
+    connection* longest = *next++;
+    if (longest->EndIfIdle(connection_cause::kMadeRoom)) return true;
+  }
+  return false;
+}
+
+std::size_t MaxConnections(const http_server::state& server) {
+  if (server.limits.max_connections > 0) return server.limits.max_connections;
+  return std::max<std::size_t>(DescriptorLimit() / 2, 1);
+}
+
+// Serves an accepted connection, or closes it.
+void Admit(const std::shared_ptr<http_server::state>& shared,
+           tcp::socket socket) {
+  if (shared->connections.size() >= MaxConnections(*shared) &&
+      !MakeRoom(*shared)) {
+    return Refuse(*shared, refusal::kNoRoom, "no idle connection");
+  }
+  try {
+    const auto accepted =
+        std::make_shared<connection>(shared, std::move(socket));
+    if (accepted->Start()) return;
+    accepted->End(connection_cause::kNoMemory, "memory budget");
+  } catch (const std::bad_alloc&) {
+    ClearEndedFrames();
+  }
+  Refuse(*shared, refusal::kNoMemory, "");
+}
+
+// Accepts connections that wait. Returns an error if one cannot be accepted.
+io_error AcceptWaiting(const std::shared_ptr<http_server::state>& shared) {
+  // Lets requests proceed in between.
+  constexpr int kMaxAccepts = 64;
+  for (int count = 0; count < kMaxAccepts; ++count) {
+    io_error ec;
+    tcp::socket socket(shared->context);
+    shared->acceptor.accept(socket, ec);
+    if (ec == asio::error::would_block) return {};
+    const bool made_room = ec && MakeRoom(*shared);
+    if (ec && !made_room) return ec;
+    if (!ec) Admit(shared, std::move(socket));
+  }
+  return {};
+}
+
 void AcceptLoop(const std::shared_ptr<http_server::state>& shared,
                 asio::yield_context yield) {
   constexpr std::chrono::milliseconds kAcceptRetry{50};
+  // Released if there is no memory for the wait before the next attempt.
+  constexpr std::size_t kSpareBytes = 64 * 1024;
+  std::unique_ptr<char[]> spare;
   while (shared->acceptor.is_open()) {
     io_error ec;
-    tcp::socket socket(shared->context);
-    shared->acceptor.async_accept(socket, yield[ec]);
-    if (ec == asio::error::operation_aborted) return;
-    if (ec) {
-      // Out of file descriptors: retry after a delay instead of busy-looping.
-      asio::steady_timer pause(shared->context, kAcceptRetry);
-      pause.async_wait(yield[ec]);
-      continue;
+    try {
+      if (!spare) spare = std::make_unique<char[]>(kSpareBytes);
+      shared->acceptor.async_wait(tcp::acceptor::wait_read, yield[ec]);
+      if (ec == asio::error::operation_aborted) return;
+      if (!ec) ec = AcceptWaiting(shared);
+      if (!ec) continue;
+    } catch (const std::bad_alloc&) {
+      ec = make_error_code(boost::system::errc::not_enough_memory);
     }
-    auto accepted = std::make_shared<connection>(shared, std::move(socket));
-    SpawnTask(shared->context,
-              [accepted](asio::yield_context inner) { accepted->Run(inner); });
+    ClearEndedFrames();
+    spare.reset();
+    Refuse(*shared, refusal::kAcceptFailed, ec.message());
+    asio::steady_timer pause(shared->context, kAcceptRetry);
+    pause.async_wait(yield[ec]);
   }
 }
 
@@ -516,6 +870,7 @@
   shared->acceptor.bind(*endpoint, ec);
   if (!ec)
     shared->acceptor.listen(asio::socket_base::max_listen_connections, ec);
+  if (!ec) shared->acceptor.non_blocking(true, ec);
   if (ec) {
     return Fail(error_code::kUnavailable, address + ": " + ec.message());
   }
@@ -532,6 +887,7 @@
   state_->acceptor.close(ignored);
   // Connections may outlive the server and what its callback refers to.
   state_->on_connection_end = nullptr;
+  state_->on_refusal = nullptr;
 }
 
 std::uint16_t http_server::port() const {
@@ -548,7 +904,7 @@
   std::vector<connection_status> all;
   all.reserve(state_->connections.size());
   for (const auto& [number, status] : state_->connections) {
-    all.push_back(status);
+    all.push_back(*status);
   }
   return all;
 }
@@ -558,6 +914,11 @@
   state_->on_connection_end = std::move(callback);
 }
 
+void http_server::OnRefusal(
+    std::function<void(refusal, const std::string&)> callback) {
+  state_->on_refusal = std::move(callback);
+}
+
 void http_server::SetLimits(const http_limits& limits) {
   state_->limits = limits;
 }
@@ -574,7 +935,13 @@
   state_->linger.expires_after(linger);
   state_->linger.async_wait([shared = state_](const io_error& ec) {
     if (ec) return;
-    for (beast::tcp_stream* stream : shared->idle) stream->cancel();
+    std::vector<std::shared_ptr<connection>> idle;
+    for (connection* waiting : shared->idle) {
+      idle.push_back(waiting->shared_from_this());
+    }
+    for (const auto& waiting : idle) {
+      waiting->EndWait(connection_cause::kStopped);
+    }
   });
 }
 
--- a/packages/gateway/http_server.h
+++ b/packages/gateway/http_server.h
@@ -28,8 +28,14 @@
   std::chrono::milliseconds write_timeout{30'000};
   /// Budget for what all connections hold; none: no limit over all.
   std::shared_ptr<byte_budget> memory;
+  /// Connections that are open at once; 0: half of the descriptors that the
+  /// process may open. Idle connections make room for new ones.
+  std::size_t max_connections = 0;
 };
 
+/// Number of descriptors that the process may open.
+std::size_t DescriptorLimit();
+
 enum class connection_phase {
   /// Waits for the first byte of a request.
   kIdle,
@@ -43,13 +49,55 @@
 
 const char* ToString(connection_phase phase);
 
+/// Why a connection ended.
+enum class connection_cause {
+  /// It is still open.
+  kNone,
+  /// Its last response was sent, and one side asked to close.
+  kAnswered,
+  kCallerClosed,
+  kReadFailed,
+  kIdleTimeout,
+  kHeadTimeout,
+  kBodyTimeout,
+  kWriteTimeout,
+  kWriteFailed,
+  /// The request is malformed or larger than the limits.
+  kRejected,
+  kNoMemory,
+  /// The handler ended the response before it was complete.
+  kAborted,
+  /// The handler gave no response.
+  kNoAnswer,
+  kException,
+  /// Idle, and closed for a new connection; or incomplete, and closed for the
+  /// memory of another request.
+  kMadeRoom,
+  /// Idle when the server stopped to accept connections.
+  kStopped,
+};
+
+const char* ToString(connection_cause cause);
+
 struct connection_status {
   connection_position position;
   connection_phase phase = connection_phase::kIdle;
+  connection_cause cause = connection_cause::kNone;
+  /// Error of the operating system or exception, if any.
+  std::string detail;
+  /// Bytes that the caller sent were not read when the connection was closed.
+  bool unread = false;
+  /// The request that is being served; null if there is none.
+  const http_request* request = nullptr;
 };
 
-/// HTTP/1.1 listener. Each connection is a coroutine that reads one request,
-/// calls the handler and repeats until either side closes.
+/// Why a connection was not served at all.
+enum class refusal { kNoRoom, kNoMemory, kAcceptFailed };
+
+const char* ToString(refusal reason);
+
+/// HTTP/1.1 listener. A coroutine reads each request and calls the handler;
+/// a connection that waits for the first byte of a request holds none.
 class http_server {
  public:
   using handler = std::function<void(const http_request&, response_writer&,
@@ -73,8 +121,12 @@
   std::size_t open_connections() const;
   std::vector<connection_status> Connections() const;
   /// Sets a function that is called with the last status of each connection
-  /// that ends.
+  /// that ends. The request in it is valid during the call.
   void OnConnectionEnd(std::function<void(const connection_status&)> callback);
+  /// Sets a function that is called for each connection that is closed, or not
+  /// accepted, for want of descriptors or memory.
+  void OnRefusal(
+      std::function<void(refusal reason, const std::string& detail)> callback);
 
   /// Replaces the limits for subsequent requests.
   void SetLimits(const http_limits& limits);
