edge_host: log and count why connections end; shares of the descriptors

connection_end tells the cause, the error, the request that was served and whether bytes were unread; events of the metrics count the causes of all listeners. connections_refused tells, once a second, what was refused or closed to make room. Each listener has a share of the descriptors of the process, so that idle callers take none from ready, the directory, engines, the store and other hosts. The task that writes such lines goes on after an exception.

--- a/packages/edge/edge_host.cpp
+++ b/packages/edge/edge_host.cpp
@@ -2,8 +2,10 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <exception>
 #include <functional>
+#include <list>
 #include <map>
 #include <random>
 #include <utility>
@@ -39,6 +41,18 @@
 // A loop that fails again and again must not take the processor.
 constexpr milliseconds kTaskRestartDelay{500};
 
+// Shares of the descriptors of the process that the listeners may use. The rest
+// is for engines, the store, other hosts and files.
+constexpr std::size_t kCallerShare = 2;
+constexpr std::size_t kForwardShare = 16;
+constexpr std::size_t kDirectoryShare = 16;
+constexpr std::size_t kReadyShare = 32;
+constexpr std::size_t kMetricsShare = 32;
+
+std::size_t DescriptorShare(std::size_t share) {
+  return std::max<std::size_t>(gateway::DescriptorLimit() / share, 1);
+}
+
 http_server::error_handler RejectMalformed(edge_state& host) {
   return [&host](problem_code code, const std::string& detail) {
     if (code == problem_code::kInternalError) {
@@ -93,22 +107,73 @@
 }
 
 // While the host stops, logs each caller's connection that ends; before that
-// only those that end within a request.
+// only those that end within a request or with unread bytes.
 void LogConnectionEnd(edge_state& state,
                       const gateway::connection_status& last) {
   const bool within_request =
       last.phase == gateway::connection_phase::kReading ||
       last.phase == gateway::connection_phase::kServing;
   const auto stop = state.stop.begun();
-  if (!stop && !within_request) return;
+  if (!stop && !within_request && !last.unread) return;
   state.log.Write(
       "connection_end",
       {{"connection", std::to_string(last.position.connection)},
        {"requests", std::to_string(last.position.requests)},
        {"phase", ToString(last.phase)},
+       {"cause", ToString(last.cause)},
+       {"detail", last.detail},
+       {"request", last.request
+                       ? state.dialect.ReadRequest(*last.request).id.value()
+                       : ""},
+       {"unread", last.unread ? "yes" : "no"},
        {"stop_ms", stop ? MillisecondText(state.time.now() - *stop) : ""}});
 }
 
+// Counts what happens to the connections of a listener, and logs at most once a
+// second how many were refused or closed to make room.
+class connection_counts {
+ public:
+  connection_counts(edge_state& state, std::string listener)
+      : state_(state), listener_(std::move(listener)) {}
+
+  void OnEnd(const gateway::connection_status& last) {
+    state_.metrics.Count("connection_end_" + std::string(ToString(last.cause)));
+    if (last.cause == gateway::connection_cause::kMadeRoom) {
+      Add(ToString(last.cause), "");
+    }
+  }
+  void OnRefusal(gateway::refusal reason, const std::string& detail) {
+    state_.metrics.Count("connection_refused_" + std::string(ToString(reason)));
+    Add(ToString(reason), detail);
+  }
+  void Log() {
+    for (const auto& [cause, noted] : noted_) {
+      state_.log.Write("connections_refused",
+                       {{"listener", listener_},
+                        {"cause", cause},
+                        {"count", std::to_string(noted.count)},
+                        {"detail", noted.detail}});
+    }
+    noted_.clear();
+  }
+
+ private:
+  struct notes {
+    int count = 0;
+    std::string detail;
+  };
+
+  void Add(const std::string& cause, const std::string& detail) {
+    auto& noted = noted_[cause];
+    ++noted.count;
+    noted.detail = detail;
+  }
+
+  edge_state& state_;
+  std::string listener_;
+  std::map<std::string, notes> noted_;
+};
+
 // Logs the connections that are open when the process ends.
 void LogOpenConnections(edge_state& state, const http_server& callers) {
   std::map<gateway::connection_phase, int> counts;
@@ -127,12 +192,14 @@
        {"closing", std::to_string(counts[connection_phase::kClosing])}});
 }
 
-// Logs engines that become slow or start to fail, their recovery, and prompt
-// parts that are quarantined; these are stored.
+// Logs refused connections, engines that become slow or start to fail, their
+// recovery, and prompt parts that are quarantined; these are stored.
 void LogChanges(edge_state& state, quarantine_sync& quarantine,
+                std::list<connection_counts>& connections,
                 boost::asio::yield_context yield) {
   while (true) {
     Pause(state.io, kChangeLogInterval, yield);
+    for (auto& counts : connections) counts.Log();
     for (const auto& change : state.fleet.TakeHealthChanges()) {
       state.log.Write("engine_judged",
                       {{"engine", change.engine.value()},
@@ -180,6 +247,8 @@
   std::unique_ptr<http_server> ready;
   std::unique_ptr<http_server> directory;
   std::unique_ptr<http_server> metrics;
+  /// Of each listener; addresses are stable.
+  std::list<connection_counts> counts;
   std::function<void()> on_stopped;
   bool stopping = false;
   /// The placement lease and the entry in the store's list are given up.
@@ -215,10 +284,11 @@
   };
 
   std::optional<error> failed;
-  const auto listen = [&](const std::string& address,
-                          gateway::http_limits limits,
+  const auto listen = [&](const char* name, const std::string& address,
+                          std::size_t share, gateway::http_limits limits,
                           http_server::handler handler) {
     limits.memory = host->state.memory;
+    limits.max_connections = DescriptorShare(share);
     auto server =
         http_server::Listen(context, address, limits, std::move(handler),
                             RejectMalformed(host->state));
@@ -226,35 +296,49 @@
       failed = server.error();
       return std::unique_ptr<http_server>();
     }
+    auto& counts = host->counts.emplace_back(host->state, name);
+    (*server)->OnConnectionEnd(
+        [&counts](const auto& last) { counts.OnEnd(last); });
+    (*server)->OnRefusal([&counts](auto reason, const auto& detail) {
+      counts.OnRefusal(reason, detail);
+    });
     return std::move(*server);
   };
   host->state.on_config = [host] {
     auto limits = ToHttpLimits(host->state.config->limits);
     limits.memory = host->state.memory;
+    limits.max_connections = DescriptorShare(kCallerShare);
     host->callers->SetLimits(limits);
+    limits.max_connections = DescriptorShare(kForwardShare);
     host->forwards->SetLimits(ToForwardLimits(limits));
   };
-  host->callers = listen(settings.callers_listen, ToHttpLimits({}),
-                         [host](const auto& request, auto& sink, auto yield) {
-                           RelayRequest(host->state, request, sink, yield);
-                         });
-  host->forwards = listen(settings.forwards_listen, ToForwardLimits({}),
+  host->callers =
+      listen("callers", settings.callers_listen, kCallerShare, ToHttpLimits({}),
+             [host](const auto& request, auto& sink, auto yield) {
+               RelayRequest(host->state, request, sink, yield);
+             });
+  host->forwards = listen("forwards", settings.forwards_listen, kForwardShare,
+                          ToForwardLimits({}),
                           [host](const auto& request, auto& sink, auto yield) {
                             RelayForwarded(host->state, request, sink, yield);
                           });
   if (host->callers) {
     host->callers->OnConnectionEnd(
-        [host](const auto& last) { LogConnectionEnd(host->state, last); });
+        [host, &counts = host->counts.front()](const auto& last) {
+          counts.OnEnd(last);
+          LogConnectionEnd(host->state, last);
+        });
   }
   host->ready = listen(
-      settings.ready_listen, {}, [host](const auto&, auto& sink, auto yield) {
+      "ready", settings.ready_listen, kReadyShare, {},
+      [host](const auto&, auto& sink, auto yield) {
         sink.SendResponse(
             host->state.dialect.LocalAnswer(host->state.Serving() ? 200 : 503,
                                             request_id(), std::nullopt),
             yield);
       });
   host->directory = listen(
-      settings.directory_listen, {},
+      "directory", settings.directory_listen, kDirectoryShare, {},
       [host](const auto& request, auto& sink, auto yield) {
         const auto& dialect = host->state.dialect;
         const auto query = dialect.ReadAddressQuery(request);
@@ -272,13 +356,14 @@
                       addresses, host->state.settings.directory_lifetime),
             yield);
       });
-  host->metrics = listen(
-      settings.metrics_listen, {}, [host](const auto&, auto& sink, auto yield) {
-        gateway::http_response answer;
-        answer.fields.Add("Content-Type", "text/plain; version=0.0.4");
-        answer.body = host->state.metrics.Serialize();
-        sink.SendResponse(answer, yield);
-      });
+  host->metrics =
+      listen("metrics", settings.metrics_listen, kMetricsShare, {},
+             [host](const auto&, auto& sink, auto yield) {
+               gateway::http_response answer;
+               answer.fields.Add("Content-Type", "text/plain; version=0.0.4");
+               answer.body = host->state.metrics.Serialize();
+               sink.SendResponse(answer, yield);
+             });
   if (failed) return tl::unexpected(*failed);
 
   SpawnLoop(host->state, "config",
@@ -308,8 +393,8 @@
   SpawnLoop(host->state, "room", [host](auto yield) { host->room.Run(yield); });
   SpawnLoop(host->state, "prober",
             [host](auto yield) { host->prober.Run(yield); });
-  gateway::SpawnTask(context, [host](auto yield) {
-    LogChanges(host->state, host->quarantine, yield);
+  SpawnLoop(host->state, "changes", [host](auto yield) {
+    LogChanges(host->state, host->quarantine, host->counts, yield);
   });
   host->state.log.Write("host_started",
                         {{"incarnation", host->state.incarnation},
