http_server: keep callers' sockets non-blocking while an answer is written

Callers saw: every caller of a host waits while one caller reads slowly. A caller that sent its next request early and read a long answer slowly stopped the whole process until it had read on; signals, digests and lease renewals wait too, and a stop ends by SIGKILL with its requests unanswered (LOST).

Cause: the detector of departed callers set the socket to non-blocking for one peek and back to blocking afterwards. When bytes arrived early while a write was pending, the reactor then continued that write on a blocking socket, and send() returned only when the caller had read all. Class: a shared mode of a descriptor that is changed under a pending operation. Ruled out elsewhere: endpoint_connection sets the mode once and never back.

Fix: the socket of an accepted connection is non-blocking from its start, so a peek changes nothing; it also saves two system calls per request.

Evidence: before the fix http_server.EarlyRequestOfASlowReaderDoesNotBlockOthers fails: "other_waited, Actual: true, Expected: false" after 3478 ms, the bound after which the slow reader goes on; it passes after it.

--- a/packages/gateway/http_server.cpp
+++ b/packages/gateway/http_server.cpp
@@ -72,7 +72,8 @@
 namespace {
 
 // Detects that the caller disconnects while its request is processed. Only
-// peeks at the socket: bytes that arrive early belong to the next request.
+// peeks at the socket, which must be non-blocking: bytes that arrive early
+// belong to the next request.
 class disconnect_detector
     : public std::enable_shared_from_this<disconnect_detector> {
  public:
@@ -108,11 +109,7 @@
   void Check() {
     char byte = 0;
     io_error ec;
-    const bool was_non_blocking = socket_.non_blocking();
-    socket_.non_blocking(true, ec);
     socket_.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
-    io_error ignored;
-    socket_.non_blocking(was_non_blocking, ignored);
     if (ec && ec != asio::error::would_block) MarkDisconnected();
   }
 
@@ -321,6 +318,9 @@
 
   void Run(asio::yield_context yield) {
     DisableNagle(stream_.socket());
+    io_error failed;
+    stream_.socket().non_blocking(true, failed);
+    if (failed) return;
     while (ServeOne(yield)) {
       status_.phase = connection_phase::kIdle;
     }
--- a/packages/gateway/tests/http_server_test.cpp
+++ b/packages/gateway/tests/http_server_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
@@ -10,6 +11,7 @@
 #include <boost/asio/write.hpp>
 #include <stdexcept>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "gateway/network.h"
@@ -109,6 +111,83 @@
   io.run_for(milliseconds(200));
 }
 
+// Answers with a body of `bytes` for the path /large, else without a body.
+http_server::handler LargeAnswers(std::size_t bytes) {
+  return [bytes](const auto& request, auto& sink, auto yield) {
+    http_response answer;
+    answer.status = 200;
+    if (request.path == "/large") answer.body.assign(bytes, 'x');
+    sink.SendResponse(answer, yield);
+  };
+}
+
+std::string RequestFor(const std::string& path, const std::string& extra = "") {
+  return "GET " + path + " HTTP/1.1\r\nHost: h\r\n" + extra + "\r\n";
+}
+
+// Guards against a process that blocks in one write: a caller sends its next
+// request early, while it reads the present answer slowly.
+TEST(http_server, EarlyRequestOfASlowReaderDoesNotBlockOthers) {
+  constexpr std::size_t kBytes = 32 * 1024 * 1024;
+  constexpr std::size_t kFirstPart = kBytes / 4;
+  asio::io_context io;
+  auto server =
+      http_server::Listen(io, "127.0.0.1:0", {}, LargeAnswers(kBytes),
+                          [](auto, const auto&) { return http_response(); });
+  ASSERT_TRUE(server);
+  const asio::ip::tcp::endpoint address(asio::ip::address_v4::loopback(),
+                                        (*server)->port());
+  std::atomic<bool> early_sent = false;
+  std::atomic<bool> other_served = false;
+  std::atomic<bool> slow_ended = false;
+  bool other_waited = true;
+  boost::system::error_code slow_failed;
+  std::thread slow([&] {
+    asio::io_context own;
+    asio::ip::tcp::socket caller(own);
+    caller.connect(address);
+    asio::write(caller, asio::buffer(RequestFor("/large")));
+    std::this_thread::sleep_for(milliseconds(300));
+    asio::write(caller, asio::buffer(RequestFor("/small")));
+    std::this_thread::sleep_for(milliseconds(100));
+    std::string part(kFirstPart, ' ');
+    asio::read(caller, asio::buffer(part), slow_failed);
+    early_sent = true;
+    for (int i = 0; i < 300 && !other_served; ++i) {
+      std::this_thread::sleep_for(milliseconds(10));
+    }
+    other_waited = !other_served;
+    for (int i = 1; i < 4 && !slow_failed; ++i) {
+      asio::read(caller, asio::buffer(part), slow_failed);
+    }
+    slow_ended = true;
+  });
+  SpawnTask(io, [&](asio::yield_context yield) {
+    boost::system::error_code ec;
+    asio::steady_timer timer(io);
+    while (!early_sent) {
+      timer.expires_after(milliseconds(10));
+      timer.async_wait(yield[ec]);
+    }
+    asio::ip::tcp::socket caller(io);
+    caller.async_connect(address, yield[ec]);
+    asio::async_write(caller, asio::buffer(RequestFor("/small")), yield[ec]);
+    std::string head(12, ' ');
+    asio::async_read(caller, asio::buffer(head), yield[ec]);
+    other_served = !ec;
+  });
+  for (int i = 0; i < 1000 && !slow_ended; ++i) {
+    io.restart();
+    io.run_for(milliseconds(10));
+  }
+  slow.join();
+  EXPECT_FALSE(other_waited);
+  EXPECT_FALSE(slow_failed) << slow_failed.message();
+  server->reset();
+  io.restart();
+  io.run_for(milliseconds(200));
+}
+
 /// A server whose requests are answered after 100 ms.
 class bounded_server : public testing::Test {
  protected:
