http_server: linger after the last answer on a connection

Callers saw: a connection that is reset under a complete answer. A host that stops, or a request with `Connection: close`, ends the connection after the answer. When the caller had sent its next request early, those bytes were unread at the close, and the kernel resets such a connection: what the caller had not yet received of the answer is lost (LOST).

Cause: only answers to requests that could not be read were followed by a lingering close; all other last answers were followed by close() at once. Class: a close with unread bytes.

Fix: after each last answer that was written whole the host ends its own direction and discards what the caller still sends, for 1 s and 4 MB at most, as it did after errors. A caller that closes ends this at once.

Evidence: before the fix http_server.LastAnswerIsWholeForACallerThatSendsOn fails: "Expected: (received.size()) > (kBytes), actual: 24576 vs 1048576".

--- a/packages/gateway/http_server.cpp
+++ b/packages/gateway/http_server.cpp
@@ -420,10 +420,11 @@
     Serve(request, writer, yield);
     --state_->open_requests;
     detector->Stop();
-    if (writer.progress() == response_progress::kComplete ||
-        writer.caller_disconnected()) {
+    const bool complete = writer.progress() == response_progress::kComplete;
+    if (complete || writer.caller_disconnected()) {
       status_.phase = connection_phase::kClosing;
     }
+    if (complete && !writer.reusable()) Linger(yield);
     return writer.reusable();
   }
 
--- a/packages/gateway/tests/http_server_test.cpp
+++ b/packages/gateway/tests/http_server_test.cpp
@@ -188,6 +188,42 @@
   io.run_for(milliseconds(200));
 }
 
+// Guards against the loss of the end of an answer: a close while bytes of the
+// caller are unread resets the connection.
+TEST(http_server, LastAnswerIsWholeForACallerThatSendsOn) {
+  constexpr std::size_t kBytes = 1024 * 1024;
+  asio::io_context io;
+  auto server =
+      http_server::Listen(io, "127.0.0.1:0", {}, LargeAnswers(kBytes),
+                          [](auto, const auto&) { return http_response(); });
+  ASSERT_TRUE(server);
+  std::string received;
+  SpawnTask(io, [&](asio::yield_context yield) {
+    boost::system::error_code ec;
+    asio::ip::tcp::socket caller(io);
+    caller.open(asio::ip::tcp::v4());
+    caller.set_option(asio::socket_base::receive_buffer_size(16 * 1024));
+    caller.connect({asio::ip::address_v4::loopback(), (*server)->port()});
+    asio::steady_timer timer(io);
+    const auto request = RequestFor("/large", "Connection: close\r\n");
+    asio::async_write(caller, asio::buffer(request), yield[ec]);
+    timer.expires_after(milliseconds(100));
+    timer.async_wait(yield[ec]);
+    asio::async_write(caller, asio::buffer(RequestFor("/small")), yield[ec]);
+    timer.expires_after(milliseconds(100));
+    timer.async_wait(yield[ec]);
+    asio::async_read(caller, asio::dynamic_buffer(received), yield[ec]);
+  });
+  for (int i = 0; i < 300 && received.size() < kBytes; ++i) {
+    io.restart();
+    io.run_for(milliseconds(10));
+  }
+  EXPECT_GT(received.size(), kBytes);
+  server->reset();
+  io.restart();
+  io.run_for(milliseconds(1500));
+}
+
 /// A server whose requests are answered after 100 ms.
 class bounded_server : public testing::Test {
  protected:
