edge_host: end only when no caller sends a request or receives an answer

Callers saw: a connection that ends under a request at the end of a stop. The process ended at the first poll after the accept period that found no request in a handler, though requests were being read or lay in receive buffers, and though answers were still under way to callers that read slowly.

Cause: the condition counted requests in handlers only. Class: an exit that does not wait for input and output under way.

Fix: after the accept period the host ends once no connection is reading, serving or closing and no request has come for 200 ms; the last moment stays 700 ms before the end of the grace time. Refusals close their connections, so traffic fades.

Evidence: before the fix stopping_host.RequestThatArrivesAtTheEndIsAnswered fails: "stopped_, Actual: true, Expected: false", with connection_end phase "reading" at stop_ms 3205; it passes after it.

--- a/packages/edge/edge_host.cpp
+++ b/packages/edge/edge_host.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <exception>
 #include <functional>
 #include <map>
@@ -34,6 +35,8 @@
 // Maximum time before the exit in which the answers to requests that are still
 // open are sent.
 constexpr milliseconds kLastAnswersPeriod{400};
+// The process ends only after this long without a new request.
+constexpr milliseconds kQuietPeriod{200};
 // Limits these log lines to one per second and engine or part.
 constexpr milliseconds kChangeLogInterval{1000};
 // A loop that fails again and again must not take the processor.
@@ -127,6 +130,14 @@
        {"closing", std::to_string(counts[connection_phase::kClosing])}});
 }
 
+// Whether a caller sends a request or still receives an answer.
+bool HasActiveConnection(const http_server& callers) {
+  const auto open = callers.Connections();
+  return std::any_of(open.begin(), open.end(), [](const auto& status) {
+    return status.phase != gateway::connection_phase::kIdle;
+  });
+}
+
 // Logs engines that become slow or start to fail, their recovery, and prompt
 // parts that are quarantined; these are stored.
 void LogChanges(edge_state& state, quarantine_sync& quarantine,
@@ -352,9 +363,19 @@
   });
   gateway::SpawnTask(state.io, [host, accepts_until, last](auto yield) {
     auto& state = host->state;
+    auto received = state.requests_received;
+    auto active_at = state.time.now();
     while (state.time.now() < last) {
-      const bool refuses = state.time.now() >= accepts_until;
-      if (refuses && host->signed_off && host->OpenRequests() == 0) break;
+      const auto now = state.time.now();
+      if (host->OpenRequests() > 0 || HasActiveConnection(*host->callers) ||
+          state.requests_received != received) {
+        received = state.requests_received;
+        active_at = now;
+      }
+      if (now >= accepts_until && host->signed_off &&
+          now - active_at >= kQuietPeriod) {
+        break;
+      }
       Pause(state.io, kStopPollInterval, yield);
     }
     // An engine may not have begun to answer; its caller learns that the answer
