--- a/soak/soak.py
+++ b/soak/soak.py
@@ -11,9 +11,14 @@
   ORDER    a stream with missing or repeated events, or complete too early
   KEYS     a key works longer than its bound after it was withdrawn
   SERVED   nothing is served for ten seconds after the last fault has ended
-  EXIT     a host ends by itself with another status than 0
+  EXIT     a host ends by itself, with any status
+  READY    a host that no fault touches is not ready 12 s after its start
+  HUNG     a host that no fault touches leaves its ready port unanswered for 3 s
+  MEMORY   a host holds more memory than its machine has
   GRACE    a host still runs at the end of the grace time after SIGTERM
-  LOST     a request that only planned work touched gets no whole answer
+  LOST     a request that only planned work touched gets no whole answer; or
+           more than three requests on kept connections get none though neither
+           their host nor their engine was touched, in storms too
   LIMIT    an engine that names a limit gets over one and a half times of it,
            and 5 requests, in 4 s from the hosts that it has told
   DRAIN    a request reaches an engine from a host that passed its Server-Leaving
@@ -29,8 +34,16 @@
 work alone. LOST does not judge requests that a fault touched, and CHECKED fails
 a run in which it judged under a third of the requests around stops.
 
+With --mixed-callers some callers send their next request early, read large
+answers slowly, or use a connection at its idle time-out, the limits of the
+configuration change, and sound engines fall silent for a second. With
+--log-faults the reader of a host's log stalls or goes away. --share,
+--descriptors and --data-mb limit each process.
+
 Usage: soak.py [--seed N] [--seeds N] [--seconds S] [--hosts N] [--keep DIR]
-               [--program PATH] [--crash-parts]
+               [--program PATH] [--crash-parts] [--mixed-callers]
+               [--log-faults] [--zones N,N,..] [--share S] [--descriptors N]
+               [--data-mb N] [--memory-mb N] [--idle-connections N]
 Ends only processes that it started, by their ids.
 """
 import argparse
@@ -38,6 +51,7 @@
 import json
 import os
 import random
+import resource
 import shutil
 import signal
 import socket
@@ -63,6 +77,18 @@
 MAX_PAUSE_S = 0.15
 LONG_TIMEOUT_S = 12.0
 SHORT_TIMEOUT_S = 3.0
+# LOST: requests on kept connections that hosts and engines in touch may lose.
+MAX_LOST_KEPT = 3
+# READY: the users' bound of recovery.
+READY_S = 12.0
+PROBE_INTERVAL_S = 0.5
+# The quota of a processor is given out in parts of this length.
+QUOTA_PERIOD_S = 0.1
+# Share of the processor of a host that a fault slows down.
+SLOW_SHARE = 0.03
+# Idle time-outs that configurations of --mixed-callers choose from.
+IDLE_TIMEOUTS_S = (0.8, 1.5, 4.0)
+LARGE_BYTES = (200_000, 1_500_000)
 # EXIT: time in which a started process comes to handle signals.
 START_S = 0.2
 # CRASH: how often requests that crash engines come, and how many may reach
@@ -402,6 +428,8 @@
             return True
         self.soak.ran(attempt, fields, first)
         seconds = float(body.split()[1])
+        if "/large/" in first:
+            body += b" " * rng.randint(*LARGE_BYTES)
         stream = any(f"/{kind}/" in first for kind in STREAMS)
         if not await pause(0.005 if stream else seconds, reader, writer):
             return False
@@ -599,10 +627,86 @@
 class Launch:
     """One process of a host, with what was done to it."""
 
-    def __init__(self, process, log_size):
+    def __init__(self, process, log_size, log, log_pipe):
         self.process, self.log_size = process, log_size
         self.begun, self.signalled = now(), 0.0
         self.terms = []
+        self.ready = False
+        self.answered = now()
+        self.log, self.log_pipe = log, log_pipe
+        # Quota: the present period, what was used before it, and whether the
+        # process is held until its end; a frozen process stays stopped.
+        self.period, self.used_before = 0, 0.0
+        self.held, self.frozen = False, False
+        if log_pipe is not None:
+            os.set_blocking(log_pipe, False)
+            self.read_log()
+
+    def read_log(self):
+        asyncio.get_running_loop().add_reader(self.log_pipe, self.copy_log)
+
+    def copy_log(self):
+        try:
+            while data := os.read(self.log_pipe, 65536):
+                with open(self.log, "ab") as log:
+                    log.write(data)
+        except BlockingIOError:
+            return
+        self.close_log()
+
+    def stall_log(self):
+        asyncio.get_running_loop().remove_reader(self.log_pipe)
+
+    def close_log(self):
+        if self.log_pipe is not None:
+            self.stall_log()
+            os.close(self.log_pipe)
+            self.log_pipe = None
+
+    def processor_s(self):
+        """Processor time that the process has used; it has one thread."""
+        with open(f"/proc/{self.process.pid}/schedstat") as file:
+            return int(file.read().split()[0]) / 1e9
+
+    def hold(self, share):
+        """Stops the process while it has used its share of this period."""
+        if self.process.poll() is not None or self.frozen:
+            return
+        try:
+            used, period = self.processor_s(), now() // QUOTA_PERIOD_S
+        except OSError:
+            return
+        part = share * QUOTA_PERIOD_S
+        if period != self.period:
+            passed = period - self.period if self.period else 1
+            self.used_before = min(used, self.used_before + passed * part)
+            self.period = period
+        held = used - self.used_before > part
+        if held != self.held:
+            self.held = held
+            self.process.send_signal(
+                signal.SIGSTOP if held else signal.SIGCONT)
+
+    def freeze(self):
+        self.frozen = True
+        if self.process.poll() is None:
+            self.process.send_signal(signal.SIGSTOP)
+
+    def thaw(self):
+        self.frozen, self.held = False, False
+        if self.process.poll() is None:
+            self.process.send_signal(signal.SIGCONT)
+
+    def memory_mb(self):
+        """The most memory that the process has held so far."""
+        try:
+            with open(f"/proc/{self.process.pid}/status") as file:
+                for line in file:
+                    if line.startswith("VmHWM:"):
+                        return int(line.split()[1]) / 1024
+        except OSError:
+            pass
+        return 0
 
 
 class Host:
@@ -615,6 +719,9 @@
         self.ports = range(base, base + 6)
         self.launch = None
         self.program = soak.program
+        self.zone = soak.zone_of(number)
+        self.slow = False
+        self.peak_mb = 0.0
         self.log = os.path.join(soak.folder, f"host-{number}.log")
 
     async def start(self):
@@ -625,7 +732,7 @@
         with open(self.ini, "w") as file:
             file.write(f"""[host]
 id = host-{self.number}
-zone = z1
+zone = {self.zone}
 cores = 1
 [listen]
 callers = {ports[0]}
@@ -648,12 +755,29 @@
         self.begin()
 
     def begin(self):
+        options, pipe = self.soak.options, (None, None)
+        if options.log_faults:
+            pipe = os.pipe()
+
+        def limit():
+            if options.descriptors:
+                resource.setrlimit(resource.RLIMIT_NOFILE,
+                                   (options.descriptors, options.descriptors))
+            if options.data_mb:
+                size = options.data_mb * 1024 * 1024
+                resource.setrlimit(resource.RLIMIT_DATA, (size, size))
         with open(self.log, "ab") as log:
+            size = log.tell()
             process = subprocess.Popen(
                 [self.program, "--hosted", "--config", self.ini],
-                stdout=log, stderr=log)
+                stdout=log if pipe[1] is None else pipe[1], stderr=log,
+                preexec_fn=limit,
+                env={**os.environ,
+                     "BLUEBELL_MEMORY_MB": str(options.memory_mb)})
+        if pipe[1] is not None:
+            os.close(pipe[1])
         LAUNCHED.append(process)
-        self.launch = Launch(process, os.path.getsize(self.log))
+        self.launch = Launch(process, size, self.log, pipe[0])
         self.soak.note(f"host-{self.number} begins, process {process.pid}")
 
     def running(self):
@@ -703,6 +827,62 @@
             log.seek(launch.log_size)
             return b'"host_started"' in log.read()
 
+    def log_tail(self):
+        """The last lines of the log, those that are no events first."""
+        with open(self.log, errors="replace") as log:
+            lines = log.read().splitlines()[-200:]
+        plain = [line for line in lines if not line.startswith("{")]
+        return " | ".join(plain[-3:] + lines[-1:])
+
+    def untouched(self, seconds):
+        """Whether the process has run for `seconds` without a fault."""
+        begin = now() - seconds
+        return self.running() and not self.launch.terms and \
+            self.launch.begun <= begin and not any(
+                self.soak.touches(key, begin, now())
+                for key in (self.key, "store", "pause"))
+
+    async def is_ready(self):
+        """Asks the ready port; none if it does not answer within a second."""
+        writer = None
+        try:
+            reader, writer = await asyncio.wait_for(
+                asyncio.open_connection("127.0.0.1", self.front + 1), 1)
+            writer.write(message("GET /ready HTTP/1.1", {"Host": "h"}))
+            head = await asyncio.wait_for(read_head(reader), 1)
+            return head and head[0].split(" ")[1] == "200"
+        except (OSError, asyncio.TimeoutError):
+            return None
+        finally:
+            if writer:
+                writer.close()
+
+    async def watch(self):
+        """READY, HUNG and MEMORY."""
+        judged = None
+        while not self.soak.ending:
+            launch, ready = self.launch, await self.is_ready()
+            if ready is not None:
+                launch.answered = now()
+            launch.ready = launch.ready or bool(ready)
+            if judged is not launch and launch is self.launch:
+                if not launch.ready and self.untouched(READY_S):
+                    judged = launch
+                    self.soak.problem("READY", f"host-{self.number} is not "
+                                      f"ready {READY_S} s after its start")
+                if launch.answered < now() - CONTACT_S and \
+                        self.untouched(2 * CONTACT_S):
+                    judged = launch
+                    self.soak.problem("HUNG", f"host-{self.number} has not "
+                                      f"answered for {CONTACT_S} s")
+            memory = launch.memory_mb()
+            self.peak_mb = max(self.peak_mb, memory)
+            if memory > self.soak.options.memory_mb:
+                self.soak.problem("MEMORY", f"host-{self.number} held "
+                                  f"{memory:.0f} MB")
+                launch.process.kill()
+            await asyncio.sleep(PROBE_INTERVAL_S)
+
     async def keep_running(self):
         """Restarts the process when it ended, as the platform does."""
         while not self.soak.ending:
@@ -710,12 +890,19 @@
                 launch = self.launch
                 code = launch.process.returncode
                 self.soak.note(f"host-{self.number} ended with {code}")
-                allowed = [0, -signal.SIGKILL]
+                if launch.log_pipe is not None:
+                    launch.copy_log()
+                launch.close_log()
+                allowed = [-signal.SIGKILL]
+                if launch.terms:
+                    allowed.append(0)
                 if not self.could_handle_signals(launch):
                     allowed += [-signal.SIGTERM, -signal.SIGHUP]
                 if code not in allowed:
                     self.soak.problem("EXIT", f"host-{self.number} ended with "
-                                              f"{code}")
+                                              f"{code} {now() - launch.begun:.3f}"
+                                              f" s after its start: "
+                                              f"{self.log_tail()}")
                 await asyncio.sleep(self.soak.rng.uniform(0, 0.3))
                 self.begin()
             await asyncio.sleep(0.02)
@@ -742,6 +929,8 @@
     "medium": Route("streaming", 1, LONG_TIMEOUT_S, False, public=True),
     "longresumed": Route("streaming", 2, LONG_TIMEOUT_S, resumable=True),
 }
+# Answers of many bytes, for callers that read slowly.
+LARGE = Route("idempotent", 2, LONG_TIMEOUT_S)
 CHAT = Route("streaming", 1, LONG_TIMEOUT_S)
 SHORT_KINDS = ["once", "often", "open", "stream", "resumed"]
 LONG_KINDS = ["slow", "long", "openlong", "medium", "longresumed"]
@@ -753,11 +942,17 @@
 class Request:
     def __init__(self, attempt, kind, host, seconds):
         self.attempt, self.kind, self.host = attempt, kind, host
-        self.route = ROUTES.get(kind, CHAT)
+        self.route = LARGE if kind == "large" else ROUTES.get(kind, CHAT)
         self.seconds = seconds
         self.limit = self.route.deadline
         self.launch, self.sent, self.end = None, None, None
         self.outcome, self.status = "", 0
+        # Sent on a connection that had carried another request.
+        self.kept = False
+        # The caller has got the head of an answer.
+        self.answered = False
+        # Sent before the answer to an earlier one on the connection.
+        self.early = False
 
 
 class Soak:
@@ -769,6 +964,9 @@
         if self.replacement and seed % 2 == 1:
             self.program, self.replacement = self.replacement, self.program
         self.crash_parts = options.crash_parts
+        self.options = options
+        self.idle_s = None
+        self.lost_kept = []
         self.store = Store(self.rng)
         self.runs, self.problems = {}, []
         self.served, self.asked, self.last_served = 0, 0, 0
@@ -791,6 +989,13 @@
         self.crashes, self.crash_arrivals = [], []
         self.crash_summary = ""
 
+    def zone_of(self, number):
+        for zone, count in enumerate(self.options.zones or [self.host_count]):
+            if number < count:
+                return f"z{zone + 1}"
+            number -= count
+        return "z1"
+
     def note(self, text):
         """One line of what the soak did, with the hosts' time of day."""
         time_of_day = time.strftime("%H:%M:%S", time.gmtime())
@@ -843,8 +1048,18 @@
             services.append({"name": "llm", "engine": {
                 "weights_mb": 200, "models": [
                     {"name": "tiles", "weights_mb": 60, "load_time_s": 1}]}})
+        more = {}
+        if self.options.mixed_callers:
+            routes.append(route("large", LARGE))
+            self.idle_s = self.rng.choice(IDLE_TIMEOUTS_S)
+            more["limits"] = {
+                "max_header_bytes": self.rng.choice([8192, 16384]),
+                "max_body_bytes": self.rng.choice([65536, 4194304]),
+                "header_timeout_ms": self.rng.choice([2000, 5000]),
+                "idle_timeout_ms": int(self.idle_s * 1000)}
         self.store.put("config", "main", {
             "version": self.version, "routes": routes, "services": services,
+            **more,
             "tenants": [{"name": "acme", "api_keys": live,
                          "unit": "token_stream", "plain_tokens": 1,
                          "rate_per_s": 1000000, "burst": 1000000}]})
@@ -892,6 +1107,8 @@
                 opened = await asyncio.wait_for(
                     asyncio.open_connection("127.0.0.1", host.front), 1)
                 kept = connections[host] = (*opened, host.launch)
+            else:
+                request.kept = True
             reader, writer, request.launch = kept
             fields = {"Host": "h", "X-Attempt-Id": attempt,
                       "X-Deadline-Ms": int(request.limit * 1000),
@@ -943,6 +1160,7 @@
         head = await read_head(reader)
         if head is None:
             raise ConnectionResetError()
+        request.answered = True
         status = int(head[0].split(" ")[1])
         await self.check(status, head[1], reader, request, key, begun)
         request.end, request.outcome = now(), "answer"
@@ -982,20 +1200,27 @@
         self.served += 1
         self.last_served = now()
 
-    def choose_host(self):
-        """Half of the requests go to hosts that are stopping."""
+    def choose_host(self, zone=None):
+        """Half of the requests go to hosts that are stopping, and most others
+        to a host of the caller's zone."""
         stopping = [host for host in self.hosts if host.stopping()]
         if stopping and self.rng.random() < 0.5:
             return self.rng.choice(stopping)
+        near = [host for host in self.hosts if host.zone == zone]
+        if near and self.rng.random() < 0.8:
+            return self.rng.choice(near)
         return self.rng.choice(self.hosts)
 
     async def client(self, kinds):
         """Uses its connections as long as they are open."""
-        connections = {}
+        connections, zone = {}, None
         while not self.ending:
             kind = self.rng.choice(
                 SHORT_KINDS if self.only_short else kinds)
-            await self.ask(kind, self.choose_host(), connections,
+            if self.options.zones and \
+                    (zone is None or self.rng.random() < 0.02):
+                zone = self.rng.choice(self.hosts).zone
+            await self.ask(kind, self.choose_host(zone), connections,
                            self.choose_seconds(kind), self.token_count(kind))
             await asyncio.sleep(self.rng.uniform(0.02, 0.12))
 
@@ -1031,6 +1256,157 @@
             self.drop(connections, host)
             await asyncio.sleep(rng.uniform(0.05, 0.2))
 
+    def new_request(self, kind, host, launch, seconds, early=False):
+        request = Request(f"{kind}-{self.asked}", kind, host, seconds)
+        self.asked += 1
+        request.launch, request.early = launch, early
+        self.senders[request.attempt] = request
+        return request
+
+    def content_of(self, request, key, more=None):
+        fields = {"Host": "h", "X-Attempt-Id": request.attempt,
+                  "X-Deadline-Ms": int(request.limit * 1000), **(more or {})}
+        if key:
+            fields["Authorization"] = f"Bearer {key}"
+        return message(f"POST /{request.kind}/7 HTTP/1.1", fields,
+                       f"{request.attempt} {request.seconds:.3f}".encode())
+
+    async def early_client(self):
+        """Sends requests before the answers to earlier ones."""
+        rng = self.rng
+        while not self.ending:
+            host, writer, sent = self.choose_host(), None, []
+            try:
+                reader, writer = await asyncio.wait_for(
+                    asyncio.open_connection("127.0.0.1", host.front), 1)
+                launch = host.launch
+                for number in range(rng.randint(2, 4)):
+                    kind = rng.choice(["open", "often", "once", "medium"])
+                    request = self.new_request(
+                        kind, host, launch, min(1.0, self.choose_seconds(kind)),
+                        number > 0)
+                    request.kept = number > 0
+                    key = self.choose_key(kind) if request.route.keyed else None
+                    writer.write(self.content_of(request, key))
+                    request.sent, request.outcome = now(), "cut"
+                    self.requests.append(request)
+                    sent.append((request, key))
+                    await asyncio.sleep(rng.uniform(0, 0.05))
+                for request, key in sent:
+                    if await asyncio.wait_for(
+                            self.exchange(request, reader, key, request.sent),
+                            request.limit + 1.5):
+                        break
+            except (OSError, asyncio.TimeoutError, ValueError,
+                    asyncio.IncompleteReadError):
+                pass
+            for request, _ in sent:
+                request.end = request.end or now()
+            if writer:
+                writer.close()
+            await asyncio.sleep(rng.uniform(0.05, 0.3))
+
+    async def slow_reader(self):
+        """Reads large answers slowly; half of the time it sends the next
+        request early."""
+        rng = self.rng
+        while not self.ending:
+            host, opened = self.choose_host(), socket.socket()
+            opened.setblocking(False)
+            opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 32768)
+            # Loopback segments would make the host's send buffer large.
+            opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1448)
+            loop, writer = asyncio.get_running_loop(), None
+            request = None
+            try:
+                await asyncio.wait_for(loop.sock_connect(
+                    opened, ("127.0.0.1", host.front)), 1)
+                reader, writer = await asyncio.open_connection(
+                    sock=opened, limit=32768)
+                request = self.new_request("large", host, host.launch, 0.05)
+                key = self.choose_key("chat")
+                writer.write(self.content_of(
+                    request, key, {"Connection": "close"}
+                    if rng.random() < 0.3 else {}))
+                request.sent, request.outcome = now(), "cut"
+                self.requests.append(request)
+                pause, early = rng.uniform(0.05, 1.5), rng.random() < 0.5
+                await asyncio.sleep(pause)
+                if early:
+                    second = self.new_request("open", host, host.launch, 0.01)
+                    writer.write(self.content_of(second, None))
+                end = request.sent + request.limit
+                await asyncio.wait_for(
+                    self.read_slowly(request, reader), end - now())
+            except (OSError, asyncio.TimeoutError, ValueError,
+                    asyncio.IncompleteReadError):
+                pass
+            if request:
+                request.end = request.end or now()
+            if writer:
+                writer.close()
+            else:
+                opened.close()
+            await asyncio.sleep(rng.uniform(0.05, 0.3))
+
+    async def read_slowly(self, request, reader):
+        head = await read_head(reader)
+        if head is None:
+            raise ConnectionResetError()
+        request.answered = True
+        request.status = int(head[0].split(" ")[1])
+        left = int(head[1]["content-length"])
+        pauses = self.rng.uniform(0, 0.05)
+        while left:
+            data = await reader.read(min(left, 32768))
+            if not data:
+                raise ConnectionResetError()
+            left -= len(data)
+            await asyncio.sleep(pauses)
+        request.end, request.outcome = now(), "answer"
+        self.served += request.status == 200
+
+    async def idle_client(self):
+        """Uses connections again about when their idle time-out ends, or after
+        four fifths of it."""
+        rng = self.rng
+        while not self.ending:
+            host, connections = self.choose_host(), {}
+            idle = self.idle_s
+            await self.ask("open", host, connections, 0.01)
+            await asyncio.sleep(
+                idle * rng.uniform(0, 0.8) if rng.random() < 0.5 else
+                idle + rng.uniform(-0.01, 0.01))
+            await self.ask(rng.choice(["open", "once"]), host, connections, 0.01)
+            self.drop(connections, host)
+            await asyncio.sleep(rng.uniform(0.05, 0.3))
+
+    async def hold_connection(self, host):
+        """Keeps a connection without a request open."""
+        while not self.ending:
+            writer = None
+            try:
+                reader, writer = await asyncio.wait_for(
+                    asyncio.open_connection("127.0.0.1", host.front), 1)
+                while not self.ending and not reader.at_eof() and \
+                        not writer.is_closing():
+                    await asyncio.sleep(0.25)
+            except (OSError, asyncio.TimeoutError):
+                pass
+            if writer:
+                writer.close()
+            await asyncio.sleep(self.rng.uniform(0.05, 0.5))
+
+    async def hold_quotas(self):
+        """Bounds the processor time of each host."""
+        while not self.ending:
+            for host in self.hosts:
+                host.launch.hold(
+                    SLOW_SHARE if host.slow else self.options.share)
+            await asyncio.sleep(0.005)
+        for host in self.hosts:
+            host.launch.thaw()
+
     async def harm(self, key, seconds, begin, end):
         """A fault that is harmful for a while."""
         index = len(self.spans)
@@ -1044,10 +1420,13 @@
     async def fault(self, rng):
         """One random fault, ended after a random time; faults overlap."""
         span = rng.uniform(0.2, 4)
-        kind = rng.choice(["kill", "term", "term_kill", "freeze",
-                           "term_freeze", "store", "store_link", "engine",
-                           "engine_link", "reset", "config", "revoke", "hup",
-                           "engine_gone", "planned", "restored", "states"])
+        kinds = ["kill", "term", "term_kill", "freeze", "term_freeze", "store",
+                 "store_link", "engine", "engine_link", "reset", "config",
+                 "revoke", "hup", "engine_gone", "planned", "restored",
+                 "states"]
+        if self.options.share:
+            kinds += ["slow", "slow"]
+        kind = rng.choice(kinds)
         host = rng.choice([h for h in self.hosts if h not in self.spared])
         engine = rng.choice([e for e in self.engines if e not in self.spared])
         if kind in ("term", "term_kill", "term_freeze"):
@@ -1062,8 +1441,15 @@
         elif kind == "hup":
             host.send(signal.SIGHUP)
         elif kind in ("freeze", "term_freeze"):
-            await self.harm(host.key, span, lambda: host.send(signal.SIGSTOP),
-                            lambda: host.send(signal.SIGCONT))
+            launch = host.launch
+            await self.harm(host.key, span, launch.freeze, launch.thaw)
+        elif kind == "slow":
+            def begin():
+                host.slow = True
+
+            def end():
+                host.slow = False
+            await self.harm(host.key, span, begin, end)
         elif kind == "store":
             def begin():
                 self.store.mode = rng.choice(["silent", "busy", "slow", "lost"])
@@ -1139,9 +1525,14 @@
 
     async def plan(self, rng):
         """One series of planned work; series overlap."""
-        kind = rng.choice(["roll", "roll", "again", "configs", "hups", "early",
-                           "early_hups", "restarts", "revoke", "states",
-                           "states", "states"])
+        kinds = ["roll", "roll", "again", "configs", "hups", "early",
+                 "early_hups", "restarts", "revoke", "states", "states",
+                 "states"]
+        if self.options.log_faults:
+            kinds += ["log", "log"]
+        if self.options.mixed_callers:
+            kinds += ["silence", "silence"]
+        kind = rng.choice(kinds)
         host = rng.choice(self.hosts)
         self.note(f"planned work: {kind}, host-{host.number}")
         if kind == "roll":
@@ -1195,6 +1586,25 @@
             self.withdraw_key()
         elif kind == "states":
             await self.state(rng)
+        elif kind == "silence":
+            proxy = rng.choice(self.engines).proxy
+            if proxy.mode == "up":
+                proxy.mode = "silent"
+                await asyncio.sleep(rng.uniform(0.3, 1.2))
+                if proxy.mode == "silent":
+                    proxy.mode = "up"
+        elif kind == "log":
+            launch = host.launch
+            if launch.log_pipe is None:
+                return
+            if rng.random() < 0.3:
+                self.note(f"the reader of host-{host.number}'s log goes away")
+                launch.close_log()
+                return
+            launch.stall_log()
+            await asyncio.sleep(rng.uniform(0.5, 6))
+            if launch.log_pipe is not None:
+                launch.read_log()
 
     async def replace_builds(self):
         """Stops the hosts one after the other and starts each by the program
@@ -1215,6 +1625,24 @@
                 self.spans.append(("pause", begun - 0.02, now()))
                 self.note(f"the soak paused for {now() - begun:.2f} s")
 
+    def loses_kept(self, request):
+        """Whether a host in touch has closed a kept connection without an
+        answer to a request that a sound engine got."""
+        arrivals = self.arrivals.get(request.attempt, [])
+        if not request.kept or request.answered or not arrivals or \
+                request.outcome != "cut":
+            return False
+        if request.end >= request.sent + request.limit - DEADLINE_MARGIN_S:
+            return False
+        if request.launch.terms and \
+                request.end >= request.launch.terms[0]:
+            return False
+        keys = {request.host.key, "pause", "store"}
+        keys.update(arrival["engine"].key for arrival in arrivals)
+        begin = request.sent - CONTACT_S
+        return request.launch.begun <= begin and not any(
+            self.touches(key, begin, request.end) for key in keys)
+
     def harmed(self, request):
         """Whether a fault may have had a part in what became of a request."""
         begin, end = request.sent - CONTACT_S, request.end
@@ -1237,6 +1665,8 @@
             return "deadline"
         if not arrivals and request.end - request.sent <= CROSSING_S:
             return "crossed"
+        if not arrivals and request.early:
+            return "unread"
         if request.launch.terms:
             term = request.launch.terms[0]
             late = any(arrival["end"] is None or
@@ -1251,6 +1681,8 @@
         for request in self.requests:
             terms = request.launch.terms
             around = bool(terms) and request.end >= terms[0]
+            if self.loses_kept(request):
+                self.lost_kept.append(request.attempt)
             self.around += around
             if self.harmed(request):
                 continue
@@ -1274,6 +1706,9 @@
                          f"{arrival['begin'] - self.begun:.3f} to "
                          f"{ended and round(ended - self.begun, 3)}")
             self.problem("LOST", text)
+        if len(self.lost_kept) > MAX_LOST_KEPT:
+            self.problem("LOST", f"{len(self.lost_kept)} requests on kept "
+                         f"connections, {', '.join(self.lost_kept[:5])}")
 
     async def ask_model(self, crashing):
         """One request to the model service; no two are alike."""
@@ -1378,6 +1813,16 @@
         tasks = [asyncio.create_task(host.keep_running())
                  for host in self.hosts]
         tasks.append(asyncio.create_task(self.watch_pauses()))
+        tasks += [asyncio.create_task(host.watch()) for host in self.hosts]
+        if self.options.share:
+            tasks.append(asyncio.create_task(self.hold_quotas()))
+        if self.options.mixed_callers:
+            for client in (self.early_client, self.slow_reader,
+                           self.idle_client):
+                tasks += [asyncio.create_task(client()) for _ in range(4)]
+        tasks += [asyncio.create_task(self.hold_connection(host))
+                  for host in self.hosts
+                  for _ in range(self.options.idle_connections)]
         tasks += [asyncio.create_task(self.client(SHORT_KINDS))
                   for _ in range(12)]
         tasks += [asyncio.create_task(self.client(LONG_KINDS))
@@ -1403,6 +1848,9 @@
             host.send(signal.SIGCONT)
             host.send(signal.SIGKILL)
             host.launch.process.wait()
+            host.launch.close_log()
+        # The ends of the hosts' connections arrive.
+        await asyncio.sleep(0.2)
         self.judge()
 
 
@@ -1449,7 +1897,25 @@
                              "first one by one; odd seeds begin with it")
     parser.add_argument("--crash-parts", action="store_true",
                         help="check CRASH too")
+    parser.add_argument("--mixed-callers", action="store_true",
+                        help="early requests, slow readers, idle connections "
+                             "at their time-out, changing limits")
+    parser.add_argument("--log-faults", action="store_true",
+                        help="readers of logs stall or go away")
+    parser.add_argument("--zones", help="hosts per zone, as in 2,3,1",
+                        type=lambda text: [int(n) for n in text.split(",")])
+    parser.add_argument("--share", type=float, default=0,
+                        help="processor quota of each host; 0: none")
+    parser.add_argument("--descriptors", type=int, default=0)
+    parser.add_argument("--data-mb", type=int, default=0,
+                        help="limit on the data segment of each host")
+    parser.add_argument("--memory-mb", type=int, default=260,
+                        help="resident memory of each host")
+    parser.add_argument("--idle-connections", type=int, default=0,
+                        help="connections without requests to each host")
     options = parser.parse_args()
+    if options.zones:
+        options.hosts = sum(options.zones)
     failed, around, judged = 0, 0, 0
     for seed in range(options.seed, options.seed + options.seeds):
         folder = tempfile.mkdtemp(prefix=f"soak-{seed}-", dir=options.keep)
@@ -1467,6 +1933,9 @@
         print(f"seed {seed}: {verdict}, {soak.served} of {soak.asked} served; "
               f"LOST judged {soak.judged}, around stops {soak.judged_around} "
               f"of {soak.around}, excused {soak.excused}")
+        print("  peak memory " + ", ".join(
+            f"{host.peak_mb:.0f}" for host in soak.hosts) + " MB; lost on kept "
+            f"connections {len(soak.lost_kept)}")
         if soak.crash_summary:
             print(f"  {soak.crash_summary}")
         for problem in soak.problems[:10]:
