soak: faults that reset connections really reset them

The relay of the soak ended a connection by an orderly close where it meant a reset, and passed a reset on as a close. The log shows framing "connection", answer "whole". The users' rules call such an answer incomplete only if it is reset.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -55,6 +55,7 @@
 import shutil
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -139,6 +140,15 @@
     return head_of(first, {**fields, "Content-Length": len(body)}) + body
 
 
+def reset(writer):
+    """Ends a connection by a reset, which loses what is under way."""
+    opened = writer.get_extra_info("socket")
+    if opened is not None and not writer.is_closing():
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                          struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 class Store:
     """The users' object store: revisions, conditional writes, faults."""
 
@@ -447,7 +457,7 @@
             if fault == "cut":
                 writer.write(answer[:-2])
                 await writer.drain()
-                writer.transport.abort()
+                reset(writer)
                 return False
             writer.write(answer)
             return False
@@ -484,7 +494,7 @@
 
     def reset_all(self):
         for writer in list(self.writers):
-            writer.transport.abort()
+            reset(writer)
 
     async def pipe(self, reader, writer, direction):
         try:
@@ -498,7 +508,9 @@
                     await asyncio.sleep(0.05)
                 writer.write(data)
                 await writer.drain()
-        except (ConnectionError, asyncio.CancelledError):
+        except ConnectionError:
+            reset(writer)
+        except asyncio.CancelledError:
             pass
         finally:
             writer.close()
