http_server: linger until the caller has received the last answer

Callers saw: an answer of more than the sockets hold is cut when its caller reads slowly and sends its next request more than a second after the answer was written.

Cause: the lingering close ended after 1 s, though the end of the answer was still in the send buffer; bytes that come for a closed socket reset the connection and drop it.

Fix: the second is repeated, up to the write timeout, while the kernel holds bytes that the caller has not acknowledged. Where the kernel does not tell, it stays one second.

Evidence: before the fix sending_caller.ReceivesItsLastAnswerWhole/1 (the next request after 1.5 s) fails: "Expected: (received.size()) > (kBytes), actual: 24576 vs 1048576"; /0 (after 0.1 s) passes. Both pass after it.

--- a/packages/gateway/http_server.cpp
+++ b/packages/gateway/http_server.cpp
@@ -1,5 +1,7 @@
 #include "gateway/http_server.h"
 
+#include <sys/ioctl.h>
+
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -457,19 +459,35 @@
     return false;
   }
 
-  // Lingering close: discards what the caller still sends for a limited time.
-  // Closing immediately would reset the connection and could lose the response.
+  // Lingering close: discards what the caller still sends for a limited time,
+  // longer while it has not received all. Closing immediately would reset the
+  // connection and could lose the response.
   void Linger(asio::yield_context yield) {
     io_error ec;
     stream_.socket().shutdown(tcp::socket::shutdown_send, ec);
-    stream_.expires_after(kLingerTime);
+    stream_.expires_never();
     std::size_t taken = 0;
-    while (!ec && taken < kLingerBytes) {
-      buffer_.clear();
-      taken += stream_.async_read_some(buffer_.prepare(kReadBytes), yield[ec]);
+    for (auto left = state_->limits.write_timeout; left.count() > 0;
+         left -= kLingerTime) {
+      const read_deadline deadline(stream_.socket(), kLingerTime);
+      while (!ec && taken < kLingerBytes) {
+        buffer_.clear();
+        taken +=
+            stream_.async_read_some(buffer_.prepare(kReadBytes), yield[ec]);
+      }
+      const bool timed_out = deadline.Translate(ec) == beast::error::timeout;
+      if (!timed_out || !HasUnsentBytes()) return;
+      ec = {};
     }
   }
 
+  // Whether the caller has not acknowledged all that was written.
+  bool HasUnsentBytes() {
+    int count = 0;
+    return ioctl(stream_.socket().native_handle(), TIOCOUTQ, &count) == 0 &&
+           count > 0;
+  }
+
   static constexpr std::size_t kReadBytes = 4096;
   static constexpr std::size_t kLingerBytes = 4 * 1024 * 1024;
   static constexpr std::chrono::seconds kLingerTime{1};
--- a/packages/gateway/tests/http_server_test.cpp
+++ b/packages/gateway/tests/http_server_test.cpp
@@ -190,7 +190,9 @@
 
 // Guards against the loss of the end of an answer: a close while bytes of the
 // caller are unread resets the connection.
-TEST(http_server, LastAnswerIsWholeForACallerThatSendsOn) {
+class sending_caller : public testing::TestWithParam<milliseconds> {};
+
+TEST_P(sending_caller, ReceivesItsLastAnswerWhole) {
   constexpr std::size_t kBytes = 1024 * 1024;
   asio::io_context io;
   auto server =
@@ -207,14 +209,14 @@
     asio::steady_timer timer(io);
     const auto request = RequestFor("/large", "Connection: close\r\n");
     asio::async_write(caller, asio::buffer(request), yield[ec]);
-    timer.expires_after(milliseconds(100));
+    timer.expires_after(GetParam());
     timer.async_wait(yield[ec]);
     asio::async_write(caller, asio::buffer(RequestFor("/small")), yield[ec]);
     timer.expires_after(milliseconds(100));
     timer.async_wait(yield[ec]);
     asio::async_read(caller, asio::dynamic_buffer(received), yield[ec]);
   });
-  for (int i = 0; i < 300 && received.size() < kBytes; ++i) {
+  for (int i = 0; i < 500 && received.size() < kBytes; ++i) {
     io.restart();
     io.run_for(milliseconds(10));
   }
@@ -224,6 +226,11 @@
   io.run_for(milliseconds(1500));
 }
 
+// The time after which the caller sends its next request.
+INSTANTIATE_TEST_SUITE_P(http_server, sending_caller,
+                         testing::Values(milliseconds(100),
+                                         milliseconds(1500)));
+
 /// A server whose requests are answered after 100 ms.
 class bounded_server : public testing::Test {
  protected:
