--- a/soak/soak.py
+++ b/soak/soak.py
@@ -149,6 +149,60 @@
     writer.transport.abort()
 
 
+class CallerSocket:
+    """A caller's connection. What has arrived can be read after a reset,
+    which asyncio's streams drop."""
+
+    def __init__(self, opened, pause=0.0):
+        self.opened, self.pause, self.data = opened, pause, b""
+
+    @staticmethod
+    async def connect(port, small=False):
+        opened = socket.socket()
+        opened.setblocking(False)
+        if small:
+            opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 32768)
+            # Loopback segments would make the host's send buffer large.
+            opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1448)
+        try:
+            await asyncio.wait_for(asyncio.get_running_loop().sock_connect(
+                opened, ("127.0.0.1", port)), 1)
+        except BaseException:
+            opened.close()
+            raise
+        return CallerSocket(opened)
+
+    async def write(self, data):
+        await asyncio.get_running_loop().sock_sendall(self.opened, data)
+
+    async def more(self):
+        await asyncio.sleep(self.pause)
+        data = await asyncio.get_running_loop().sock_recv(self.opened, 32768)
+        if not data:
+            raise asyncio.IncompleteReadError(self.data, None)
+        self.data += data
+
+    def take(self, count):
+        data, self.data = self.data[:count], self.data[count:]
+        return data
+
+    async def readuntil(self, end):
+        while end not in self.data:
+            await self.more()
+        return self.take(self.data.index(end) + len(end))
+
+    async def readline(self):
+        return await self.readuntil(b"\n")
+
+    async def readexactly(self, count):
+        while len(self.data) < count:
+            await self.more()
+        return self.take(count)
+
+    def close(self):
+        self.opened.close()
+
+
 class Store:
     """The users' object store: revisions, conditional writes, faults."""
 
@@ -1287,10 +1341,9 @@
         """Sends requests before the answers to earlier ones."""
         rng = self.rng
         while not self.ending:
-            host, writer, sent = self.choose_host(), None, []
+            host, caller, sent = self.choose_host(), None, []
             try:
-                reader, writer = await asyncio.wait_for(
-                    asyncio.open_connection("127.0.0.1", host.front), 1)
+                caller = await CallerSocket.connect(host.front)
                 launch = host.launch
                 for number in range(rng.randint(2, 4)):
                     kind = rng.choice(["open", "often", "once", "medium"])
@@ -1299,14 +1352,17 @@
                         number > 0)
                     request.kept = number > 0
                     key = self.choose_key(kind) if request.route.keyed else None
-                    writer.write(self.content_of(request, key))
+                    await caller.write(self.content_of(request, key))
                     request.sent, request.outcome = now(), "cut"
                     self.requests.append(request)
                     sent.append((request, key))
                     await asyncio.sleep(rng.uniform(0, 0.05))
+            except (OSError, asyncio.TimeoutError):
+                pass
+            try:
                 for request, key in sent:
                     if await asyncio.wait_for(
-                            self.exchange(request, reader, key, request.sent),
+                            self.exchange(request, caller, key, request.sent),
                             request.limit + 1.5):
                         break
             except (OSError, asyncio.TimeoutError, ValueError,
@@ -1314,8 +1370,8 @@
                 pass
             for request, _ in sent:
                 request.end = request.end or now()
-            if writer:
-                writer.close()
+            if caller:
+                caller.close()
             await asyncio.sleep(rng.uniform(0.05, 0.3))
 
     async def slow_reader(self):
@@ -1323,60 +1379,48 @@
         request early."""
         rng = self.rng
         while not self.ending:
-            host, opened = self.choose_host(), socket.socket()
-            opened.setblocking(False)
-            opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 32768)
-            # Loopback segments would make the host's send buffer large.
-            opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1448)
-            loop, writer = asyncio.get_running_loop(), None
-            request = None
+            host, caller, request = self.choose_host(), None, None
             try:
-                await asyncio.wait_for(loop.sock_connect(
-                    opened, ("127.0.0.1", host.front)), 1)
-                reader, writer = await asyncio.open_connection(
-                    sock=opened, limit=32768)
+                caller = await CallerSocket.connect(host.front, small=True)
                 request = self.new_request("large", host, host.launch, 0.05)
-                key = self.choose_key("chat")
-                writer.write(self.content_of(
-                    request, key, {"Connection": "close"}
+                await caller.write(self.content_of(
+                    request, self.choose_key("chat"), {"Connection": "close"}
                     if rng.random() < 0.3 else {}))
                 request.sent, request.outcome = now(), "cut"
                 self.requests.append(request)
-                pause, early = rng.uniform(0.05, 1.5), rng.random() < 0.5
-                await asyncio.sleep(pause)
-                if early:
+                await asyncio.sleep(rng.uniform(0.05, 1.5))
+                if rng.random() < 0.5:
                     second = self.new_request("open", host, host.launch, 0.01)
-                    writer.write(self.content_of(second, None))
-                end = request.sent + request.limit
+                    try:
+                        await caller.write(self.content_of(second, None))
+                    except OSError:
+                        pass
+                caller.pause = rng.uniform(0, 0.05)
                 await asyncio.wait_for(
-                    self.read_slowly(request, reader), end - now())
+                    self.read_large(request, caller),
+                    request.sent + request.limit - now())
             except (OSError, asyncio.TimeoutError, ValueError,
                     asyncio.IncompleteReadError):
                 pass
             if request:
                 request.end = request.end or now()
-            if writer:
-                writer.close()
-            else:
-                opened.close()
+            if caller:
+                caller.close()
             await asyncio.sleep(rng.uniform(0.05, 0.3))
 
-    async def read_slowly(self, request, reader):
-        head = await read_head(reader)
+    async def read_large(self, request, caller):
+        head = await read_head(caller)
         if head is None:
             raise ConnectionResetError()
         request.answered = True
         request.status = int(head[0].split(" ")[1])
-        left = int(head[1]["content-length"])
-        pauses = self.rng.uniform(0, 0.05)
-        while left:
-            data = await reader.read(min(left, 32768))
-            if not data:
-                raise ConnectionResetError()
-            left -= len(data)
-            await asyncio.sleep(pauses)
+        body = await read_body(caller, head[1])
         request.end, request.outcome = now(), "answer"
-        self.served += request.status == 200
+        if request.status != 200:
+            return
+        self.served += 1
+        if not body.startswith(f"ran {request.attempt} ".encode()):
+            self.problem("MIXED", f"{request.attempt}: body {body[:60]!r}")
 
     async def idle_client(self):
         """Uses connections again about when their idle time-out ends, or after
