http_server: a connection whose answer is still under way is not idle

Callers saw: a large answer on a kept connection is cut when its caller reads slowly and sends its next request after the idle time-out.

Cause: the idle time began when the kernel had taken the answer. At its end the socket was closed, and the next request reset it while the end of the answer was in the send buffer.

Fix: at the end of the idle time a connection stays open while the kernel holds bytes that the caller has not acknowledged, up to the write timeout, and also if a request has arrived just then: it is served instead of cut.

Evidence: before the fix sending_caller.ReceivesItsLastAnswerWhole/2 (kept connection, idle time-out 200 ms, next request after 600 ms) fails: "Expected: (received.size()) > (kBytes), actual: 24576 vs 1048576"; it passes after it.

--- a/packages/gateway/http_server.cpp
+++ b/packages/gateway/http_server.cpp
@@ -361,10 +361,8 @@
   io_error Read(request_parser& parser, asio::yield_context yield) {
     io_error ec;
     if (buffer_.size() == 0) {
-      stream_.expires_after(state_->limits.idle_timeout);
       state_->idle.insert(&stream_);
-      const std::size_t count =
-          stream_.async_read_some(buffer_.prepare(kReadBytes), yield[ec]);
+      const std::size_t count = ReadFirst(ec, yield);
       state_->idle.erase(&stream_);
       if (ec) {
         status_.phase = connection_phase::kClosing;
@@ -393,6 +391,27 @@
     return deadline.Translate(ec);
   }
 
+  // Reads the first bytes of a request. A connection is not idle while the
+  // caller still receives an answer: closing it could lose the end of that.
+  std::size_t ReadFirst(io_error& ec, asio::yield_context yield) {
+    stream_.expires_never();
+    auto left = state_->limits.write_timeout;
+    while (true) {
+      const auto idle_timeout = state_->limits.idle_timeout;
+      const read_deadline deadline(stream_.socket(), idle_timeout);
+      const std::size_t count =
+          stream_.async_read_some(buffer_.prepare(kReadBytes), yield[ec]);
+      if (deadline.Translate(ec) != beast::error::timeout) return count;
+      io_error unknown;
+      const bool arrived = stream_.socket().available(unknown) > 0;
+      left -= idle_timeout;
+      if (!arrived && (left.count() <= 0 || !HasUnsentBytes())) {
+        ec = http::error::end_of_stream;
+        return 0;
+      }
+    }
+  }
+
   // Takes the memory of the buffer and of a body of `bytes`.
   bool Hold(std::size_t bytes) {
     return held_.Resize(buffer_.capacity() + bytes);
--- a/packages/gateway/tests/http_server_test.cpp
+++ b/packages/gateway/tests/http_server_test.cpp
@@ -190,13 +190,22 @@
 
 // Guards against the loss of the end of an answer: a close while bytes of the
 // caller are unread resets the connection.
-class sending_caller : public testing::TestWithParam<milliseconds> {};
+struct early_request {
+  /// Header fields of the request with a large answer.
+  std::string fields;
+  /// Time after which the caller sends its next request.
+  milliseconds delay;
+};
+
+class sending_caller : public testing::TestWithParam<early_request> {};
 
 TEST_P(sending_caller, ReceivesItsLastAnswerWhole) {
   constexpr std::size_t kBytes = 1024 * 1024;
   asio::io_context io;
+  http_limits limits;
+  limits.idle_timeout = milliseconds(200);
   auto server =
-      http_server::Listen(io, "127.0.0.1:0", {}, LargeAnswers(kBytes),
+      http_server::Listen(io, "127.0.0.1:0", limits, LargeAnswers(kBytes),
                           [](auto, const auto&) { return http_response(); });
   ASSERT_TRUE(server);
   std::string received;
@@ -207,9 +216,9 @@
     caller.set_option(asio::socket_base::receive_buffer_size(16 * 1024));
     caller.connect({asio::ip::address_v4::loopback(), (*server)->port()});
     asio::steady_timer timer(io);
-    const auto request = RequestFor("/large", "Connection: close\r\n");
+    const auto request = RequestFor("/large", GetParam().fields);
     asio::async_write(caller, asio::buffer(request), yield[ec]);
-    timer.expires_after(GetParam());
+    timer.expires_after(GetParam().delay);
     timer.async_wait(yield[ec]);
     asio::async_write(caller, asio::buffer(RequestFor("/small")), yield[ec]);
     timer.expires_after(milliseconds(100));
@@ -226,10 +235,11 @@
   io.run_for(milliseconds(1500));
 }
 
-// The time after which the caller sends its next request.
-INSTANTIATE_TEST_SUITE_P(http_server, sending_caller,
-                         testing::Values(milliseconds(100),
-                                         milliseconds(1500)));
+INSTANTIATE_TEST_SUITE_P(
+    http_server, sending_caller,
+    testing::Values(early_request{"Connection: close\r\n", milliseconds(100)},
+                    early_request{"Connection: close\r\n", milliseconds(1500)},
+                    early_request{"", milliseconds(600)}));
 
 /// A server whose requests are answered after 100 ms.
 class bounded_server : public testing::Test {
