--- a/soak/soak.py
+++ b/soak/soak.py
@@ -824,25 +824,20 @@
         options, pipe = self.soak.options, (None, None)
         if options.log_faults:
             pipe = os.pipe()
-
-        def limit():
-            if options.descriptors:
-                resource.setrlimit(resource.RLIMIT_NOFILE,
-                                   (options.descriptors, options.descriptors))
-            if options.data_mb:
-                size = options.data_mb * 1024 * 1024
-                resource.setrlimit(resource.RLIMIT_DATA, (size, size))
         with open(self.log, "ab") as log:
             size = log.tell()
             process = subprocess.Popen(
                 [self.program, "--hosted", "--config", self.ini],
                 stdout=log if pipe[1] is None else pipe[1], stderr=log,
-                preexec_fn=limit,
                 env={**os.environ,
                      "BLUEBELL_MEMORY_MB": str(options.memory_mb)})
         if pipe[1] is not None:
             os.close(pipe[1])
         LAUNCHED.append(process)
+        for kind, size in ((resource.RLIMIT_NOFILE, options.descriptors),
+                           (resource.RLIMIT_DATA, options.data_mb << 20)):
+            if size:
+                resource.prlimit(process.pid, kind, (size, size))
         self.launch = Launch(process, size, self.log, pipe[0])
         self.soak.note(f"host-{self.number} begins, process {process.pid}")
 
