--- a/packages/gateway/http_server.cpp
+++ b/packages/gateway/http_server.cpp
@@ -1,5 +1,6 @@
 #include "gateway/http_server.h"
 
+#include <sys/ioctl.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 
@@ -435,18 +436,28 @@
   }
 
   /// Ends a connection that waits for a request and has nothing to read.
-  /// Returns false if it has a request to read.
+  /// Returns false if it has a request to read, or if the caller still receives
+  /// an answer: closing the connection could lose the end of that.
   bool EndIfIdle(connection_cause cause) {
     const auto input = Peek(stream_.socket());
     if (input == socket_input::kBytes) return false;
-    End(input == socket_input::kEnd ? connection_cause::kCallerClosed : cause);
-    return true;
+    if (input == socket_input::kEnd) {
+      End(connection_cause::kCallerClosed);
+      return true;
+    }
+    const bool receives = receive_time_left_.count() > 0 && HasUnsentBytes();
+    if (!receives) End(cause);
+    return !receives;
   }
 
   /// The wait for a request has ended: serves what arrived at the last moment,
   /// or ends the connection.
   void EndWait(connection_cause cause) {
     if (!waiting_ || EndIfIdle(cause)) return;
+    if (Peek(stream_.socket()) == socket_input::kNothing) {
+      receive_time_left_ -= state_->limits.idle_timeout;
+      return LimitWait();
+    }
     io_error ignored;
     stream_.socket().cancel(ignored);
     ServeRequests();
@@ -499,15 +510,21 @@
     Hold(0);
     place_ = state_->idle.insert(state_->idle.end(), this);
     waiting_ = true;
-    const auto wait = ++waits_;
-    timer_.expires_after(state_->limits.idle_timeout);
-    timer_.async_wait([self = shared_from_this(), wait](const io_error& ec) {
-      if (ec || wait != self->waits_) return;
-      self->EndWait(connection_cause::kIdleTimeout);
-    });
+    ++waits_;
+    receive_time_left_ = state_->limits.write_timeout;
+    LimitWait();
     AwaitInput();
   }
 
+  void LimitWait() {
+    timer_.expires_after(state_->limits.idle_timeout);
+    timer_.async_wait(
+        [self = shared_from_this(), wait = waits_](const io_error& ec) {
+          if (ec || wait != self->waits_) return;
+          self->EndWait(connection_cause::kIdleTimeout);
+        });
+  }
+
   void AwaitInput() {
     stream_.socket().async_wait(
         tcp::socket::wait_read,
@@ -618,11 +635,18 @@
     parser.eager(true);
     while (!ec && !parser.is_done()) {
       http::async_read_some(stream_, buffer_, parser, yield[ec]);
-      if (!ec && !Hold(parser.get().body().size())) return NoMemory();
+      if (!ec && !Hold(BodyBytes(parser))) return NoMemory();
     }
     return deadline.Translate(ec);
   }
 
+  // Memory that a body takes. Space for a body of known length is reserved at
+  // once, but only the part that was received is resident.
+  static std::size_t BodyBytes(const request_parser& parser) {
+    const auto& body = parser.get().body();
+    return parser.chunked() ? body.capacity() : body.size();
+  }
+
   // Takes the memory of the connection, its buffer, the coroutine of its
   // request and a body of `bytes`. Requests whose heads arrive slowly give way.
   bool Hold(std::size_t bytes) {
@@ -660,15 +684,20 @@
     connection_writer writer(stream_, state_->limits, detector,
                              status_.position, keep_alive);
     detector->Start();
+    bool complete = false;
     {
       const request_mark mark(*state_, status_, request);
       Serve(request, writer, yield);
       detector->Stop();
-      if (writer.progress() == response_progress::kComplete ||
-          writer.caller_disconnected()) {
+      complete = writer.progress() == response_progress::kComplete;
+      if (complete || writer.caller_disconnected()) {
         status_.phase = connection_phase::kClosing;
       }
-      if (!writer.reusable()) End(writer.cause(), writer.detail());
+      if (!complete) End(writer.cause(), writer.detail());
+    }
+    if (complete && !writer.reusable()) {
+      Linger(yield);
+      End(writer.cause(), writer.detail());
     }
     return !ended_;
   }
@@ -693,6 +722,17 @@
   void SendRequestError(const io_error& ec, asio::yield_context yield) {
     const auto code = ToProblem(ec);
     if (!code) return;
+    if (code == problem_code::kHeadersTooLarge ||
+        code == problem_code::kBodyTooLarge ||
+        code == problem_code::kNotReady) {
+      status_.cut_off = code;
+      io_error unknown;
+      const auto remote = stream_.socket().remote_endpoint(unknown);
+      if (!unknown) {
+        status_.peer =
+            remote.address().to_string() + ":" + std::to_string(remote.port());
+      }
+    }
     const auto detector =
         std::make_shared<disconnect_detector>(stream_.socket());
     connection_writer writer(stream_, state_->limits, detector,
@@ -701,19 +741,35 @@
     Linger(yield);
   }
 
-  // Lingering close: discards what the caller still sends for a limited time.
-  // Closing immediately would reset the connection and could lose the response.
+  // Lingering close: discards what the caller still sends for a limited time,
+  // longer while it has not received all. Closing immediately would reset the
+  // connection and could lose the response.
   void Linger(asio::yield_context yield) {
     io_error ec;
     stream_.socket().shutdown(tcp::socket::shutdown_send, ec);
-    stream_.expires_after(kLingerTime);
+    stream_.expires_never();
     std::size_t taken = 0;
-    while (!ec && taken < kLingerBytes) {
-      buffer_.clear();
-      taken += stream_.async_read_some(buffer_.prepare(kReadBytes), yield[ec]);
+    for (auto left = state_->limits.write_timeout; left.count() > 0;
+         left -= kLingerTime) {
+      const read_deadline deadline(stream_.socket(), kLingerTime);
+      while (!ec && taken < kLingerBytes) {
+        buffer_.clear();
+        taken +=
+            stream_.async_read_some(buffer_.prepare(kReadBytes), yield[ec]);
+      }
+      const bool timed_out = deadline.Translate(ec) == beast::error::timeout;
+      if (!timed_out || !HasUnsentBytes()) return;
+      ec = {};
     }
   }
 
+  // Whether the caller has not acknowledged all that was written.
+  bool HasUnsentBytes() {
+    int count = 0;
+    return ioctl(stream_.socket().native_handle(), TIOCOUTQ, &count) == 0 &&
+           count > 0;
+  }
+
   // Membership of a list for the life of the object.
   class list_entry {
    public:
@@ -765,6 +821,8 @@
   /// Limits the wait for a request.
   asio::steady_timer timer_;
   bool waiting_ = false;
+  /// Part of the wait in which the caller may still receive an answer.
+  std::chrono::milliseconds receive_time_left_{0};
   /// Tells the handlers of the current wait from those of earlier ones.
   std::uint64_t waits_ = 0;
   std::list<connection*>::iterator place_;
