edge_host: go on after an exception in the log of changes; show dropped lines

Seen by reading: LogChanges was a plain task, so one exception, for instance a failed allocation, ended the logging and the storing of quarantined parts for good, with a line on standard error only. It is a loop like the others now, which begins again with `task_failed`.

The state `log_lines_dropped` tells how many log lines are missing. Before, only the next line that could be written did, which never comes when the reader of the log is gone.

--- a/packages/edge/edge_host.cpp
+++ b/packages/edge/edge_host.cpp
@@ -274,6 +274,9 @@
       });
   host->metrics = listen(
       settings.metrics_listen, {}, [host](const auto&, auto& sink, auto yield) {
+        host->state.metrics.SetGauge(
+            "log_lines_dropped",
+            static_cast<double>(host->state.log.dropped()));
         gateway::http_response answer;
         answer.fields.Add("Content-Type", "text/plain; version=0.0.4");
         answer.body = host->state.metrics.Serialize();
@@ -308,7 +311,7 @@
   SpawnLoop(host->state, "room", [host](auto yield) { host->room.Run(yield); });
   SpawnLoop(host->state, "prober",
             [host](auto yield) { host->prober.Run(yield); });
-  gateway::SpawnTask(context, [host](auto yield) {
+  SpawnLoop(host->state, "changes", [host](auto yield) {
     LogChanges(host->state, host->quarantine, yield);
   });
   host->state.log.Write("host_started",
@@ -377,6 +380,10 @@
   impl_->state.log.Write("reload_requested", {{"applied", "at next start"}});
 }
 
+void edge_host::LogHandlerFailure(const std::string& detail) {
+  impl_->state.log.Write("handler_failed", {{"detail", detail}});
+}
+
 void edge_host::LogUnreadable(const std::string& kind, const std::string& name,
                               const std::string& why) {
   impl_->state.log.Write("object_unreadable",
--- a/packages/edge/edge_host.h
+++ b/packages/edge/edge_host.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 
 #include "base/result.h"
 #include "edge/deployment_store.h"
@@ -35,6 +36,8 @@
   void OnStopped(std::function<void()> callback);
   /// Logs a reload request; changed settings apply at the next start.
   void OnReload();
+  /// Logs an exception that left a handler of the event loop.
+  void LogHandlerFailure(const std::string& detail);
   /// Logs a store object that cannot be parsed.
   void LogUnreadable(const std::string& kind, const std::string& name,
                      const std::string& why);
