daemon: name the cause of each end; survive a lost log and stray signals

What callers saw: connections that closed under their requests, because the process had ended; the log did not say why.

Cause: the process ran with the signal dispositions, the mask and the descriptors that it was started with. By default SIGPIPE ended it at the next log line after the reader of its log had gone away, SIGXFSZ when the log file had reached its limit, and SIGUSR1, SIGUSR2, SIGALRM and others always. With SIGTERM blocked it never stopped. With closed standard streams, asio's own descriptors got the numbers 0 to 2 and log lines were written to one.

The first call of main now replaces closed standard streams by the null device, ignores what has no meaning here, unblocks what has one, and installs handlers that write one line `process_ended` with the cause: a stop, an error at the start, std::terminate with the exception's text, lack of memory, a fatal signal (on an alternate stack). A disposition that a runtime has set before is kept, and takes effect after the line. An exception that leaves a handler of the event loop is logged, and the loop goes on; asio allows to call run() again.

--- a/packages/daemon/program/bluebellraild.cpp
+++ b/packages/daemon/program/bluebellraild.cpp
@@ -1,17 +1,20 @@
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
 
 #include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <cstdlib>
+#include <exception>
 #include <functional>
 #include <iostream>
 
 #include "base/asio_clock.h"
 #include "daemon/host_process.h"
 #include "daemon/host_settings.h"
+#include "daemon/process_end.h"
 #include "edge/edge_host.h"
 #include "edge/edge_settings.h"
 #include "platform/hosted_dialect.h"
@@ -30,24 +33,49 @@
   spdlog::set_level(spdlog::level::from_str(level));
 }
 
+const char* SignalName(int number) {
+  return number == SIGINT ? "SIGINT" : "SIGTERM";
+}
+
+// Runs handlers until the context is stopped. An exception that leaves a
+// handler ends only this handler.
+void RunHandlers(boost::asio::io_context& context,
+                 const std::function<void(const char*)>& report) {
+  while (true) {
+    try {
+      context.run();
+      return;
+    } catch (const std::exception& failure) {
+      report(failure.what());
+    }
+  }
+}
+
 int Run(const host_settings& settings) {
   boost::asio::io_context context;
+  boost::asio::signal_set signals(context, SIGTERM, SIGINT);
   auto host = host_process::Create(context, settings);
   if (!host) {
-    std::cerr << "cannot start: " << host.error().detail << std::endl;
+    ReportEnd("cannot_start", host.error().detail.c_str());
     return kCannotStart;
   }
   (*host)->OnDrained([&context] { context.stop(); });
-  boost::asio::signal_set signals(context, SIGTERM, SIGINT);
-  signals.async_wait([&host](const boost::system::error_code& failure, int) {
-    if (!failure) (*host)->Drain();
+  int stop_signal = 0;
+  signals.async_wait([&](const boost::system::error_code& failure, int number) {
+    if (failure) return;
+    stop_signal = number;
+    (*host)->Drain();
+  });
+  RunHandlers(context, [](const char* detail) {
+    LogProcessEvent("handler_failed", "exception", detail);
   });
-  context.run();
+  ReportEnd("stopped", SignalName(stop_signal));
   return kDone;
 }
 
 // Runs an entry host on the hosted platform.
 int RunHosted(const edge::edge_settings& settings) {
+  SetReportDescriptor(STDOUT_FILENO);
   boost::asio::io_context context;
   // Before the host listens, so that no signal ends a process that has callers.
   boost::asio::signal_set stops(context, SIGTERM, SIGINT);
@@ -62,13 +90,16 @@
       });
   auto host = edge::edge_host::Create(context, clock, settings, dialect, store);
   if (!host) {
-    std::cerr << "cannot start: " << host.error().detail << std::endl;
+    ReportEnd("cannot_start", host.error().detail.c_str());
     return kCannotStart;
   }
   started = host->get();
   started->OnStopped([&context] { context.stop(); });
-  stops.async_wait([started](const boost::system::error_code& failure, int) {
-    if (!failure) started->Stop();
+  int stop_signal = 0;
+  stops.async_wait([&](const boost::system::error_code& failure, int number) {
+    if (failure) return;
+    stop_signal = number;
+    started->Stop();
   });
   std::function<void()> await_reload = [&] {
     reloads.async_wait([&](const boost::system::error_code& failure, int) {
@@ -78,10 +109,12 @@
     });
   };
   await_reload();
-  context.run();
+  RunHandlers(context, [started](const char* detail) {
+    started->LogHandlerFailure(detail);
+  });
   // Requests that are still suspended refer to the host, the clock and the
   // context; no order of destruction suits all of them.
-  std::cout.flush();
+  ReportEnd("stopped", SignalName(stop_signal));
   std::_Exit(kDone);
 }
 
@@ -98,6 +131,7 @@
   const auto settings = Settings::Load(file);
   if (!settings) {
     PrintErrors(settings.error());
+    if (!check_only) ReportEnd("settings_invalid", file.c_str());
     return kInvalidSettings;
   }
   if (check_only) {
@@ -105,6 +139,7 @@
     return kDone;
   }
   StartLogging(settings->log_level);
+  SetReportedHost(settings->id.value());
   return run(*settings);
 }
 
@@ -134,4 +169,7 @@
 }  // namespace
 }  // namespace bluebell::daemon
 
-int main(int argc, char** argv) { return bluebell::daemon::Main(argc, argv); }
+int main(int argc, char** argv) {
+  bluebell::daemon::ProtectProcess();
+  return bluebell::daemon::Main(argc, argv);
+}
--- a/packages/daemon/tests/test_processes.cpp
+++ b/packages/daemon/tests/test_processes.cpp
@@ -120,6 +120,26 @@
   if (failure != 0) throw std::runtime_error("cannot start " + arguments[0]);
 }
 
+child_process::child_process(const std::vector<std::string>& arguments,
+                             const std::string& log_file,
+                             const std::function<void()>& prepare) {
+  std::vector<char*> pointers;
+  for (const auto& argument : arguments) {
+    pointers.push_back(const_cast<char*>(argument.c_str()));
+  }
+  pointers.push_back(nullptr);
+  pid_ = ::fork();
+  if (pid_ < 0) throw std::runtime_error("cannot start " + arguments[0]);
+  if (pid_ > 0) return;
+  const int log = ::open(log_file.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+  ::dup2(log, STDOUT_FILENO);
+  ::dup2(log, STDERR_FILENO);
+  prepare();
+  ::closefrom(STDERR_FILENO + 1);
+  ::execv(pointers[0], pointers.data());
+  ::_exit(127);
+}
+
 child_process::~child_process() { Kill(); }
 
 void child_process::Signal(int number) {
--- a/packages/daemon/tests/test_processes.h
+++ b/packages/daemon/tests/test_processes.h
@@ -20,10 +20,16 @@
   /// Starts `arguments[0]` with output to `log_file`.
   child_process(const std::vector<std::string>& arguments,
                 const std::string& log_file);
+  /// As above; `prepare` runs in the child before the program starts and may
+  /// replace its output, its limits and the state of its signals.
+  child_process(const std::vector<std::string>& arguments,
+                const std::string& log_file,
+                const std::function<void()>& prepare);
   ~child_process();
   child_process(const child_process&) = delete;
   child_process& operator=(const child_process&) = delete;
 
+  pid_t id() const { return pid_; }
   void Signal(int number);
   /// Sends SIGKILL and waits for the process to end, at most 10 s.
   void Kill();
