daemon: wait at the start for addresses that are taken and for settings

What callers saw: a host that did not start. On a machine, an outgoing connection or the predecessor may hold one of its ports for a moment, and the settings file may be read while it is being replaced.

Cause: the first failed bind and the first unreadable file ended the process at once, with 1 and 2. The platform restarts it, but each end counts, and the restart may meet the same state again.

The start is tried again every 200 ms: 60 s for addresses, longer than a closing predecessor (grace time) or a short connection needs, and 10 s for settings, which stay wrong if they are not being replaced. A line `start_waits` names the address or the setting. All addresses are bound and released before the host listens at the first, so that no caller is accepted and none is told that the host is ready. SIGTERM stops a process that waits. Exceptions at the start (no source of random numbers, no memory) are handled in the same way.

The end after 60 s was not run.

--- a/packages/daemon/program/bluebellraild.cpp
+++ b/packages/daemon/program/bluebellraild.cpp
@@ -5,11 +5,17 @@
 #include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <chrono>
 #include <csignal>
 #include <cstdlib>
 #include <exception>
 #include <functional>
 #include <iostream>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
 
 #include "base/asio_clock.h"
 #include "daemon/host_process.h"
@@ -17,6 +23,7 @@
 #include "daemon/process_end.h"
 #include "edge/edge_host.h"
 #include "edge/edge_settings.h"
+#include "edge/listen_check.h"
 #include "platform/hosted_dialect.h"
 #include "platform/hosted_store.h"
 
@@ -73,50 +80,137 @@
   return kDone;
 }
 
-// Runs an entry host on the hosted platform.
-int RunHosted(const edge::edge_settings& settings) {
-  SetReportDescriptor(STDOUT_FILENO);
-  boost::asio::io_context context;
-  // Before the host listens, so that no signal ends a process that has callers.
-  boost::asio::signal_set stops(context, SIGTERM, SIGINT);
-  boost::asio::signal_set reloads(context, SIGHUP);
-  asio_clock clock(context);
-  edge::edge_host* started = nullptr;
-  const platform::hosted_dialect dialect;
-  platform::hosted_store store(
-      context, clock, settings.store_address, settings.store_timeout,
-      [&started](const auto& kind, const auto& name, const auto& reason) {
-        if (started != nullptr) started->LogUnreadable(kind, name, reason);
-      });
-  auto host = edge::edge_host::Create(context, clock, settings, dialect, store);
-  if (!host) {
-    ReportEnd("cannot_start", host.error().detail.c_str());
-    return kCannotStart;
+// Time to wait at the start for what another process may hold or be writing:
+// each end of a process counts as a failure of its host.
+constexpr std::chrono::seconds kAddressPatience{60};
+constexpr std::chrono::seconds kSettingsPatience{10};
+constexpr std::chrono::milliseconds kStartRetryInterval{200};
+
+// Starts and runs an entry host on the hosted platform.
+class hosted_run {
+ public:
+  explicit hosted_run(std::string file) : file_(std::move(file)) {}
+
+  int Run() {
+    AwaitStop();
+    const auto invalid = Retry("settings_invalid", kSettingsPatience,
+                               [this] { return LoadSettings(); });
+    if (stop_signal_ != 0)
+      return End("stopped", SignalName(stop_signal_), kDone);
+    if (!invalid.empty()) {
+      return End("settings_invalid", invalid, kInvalidSettings);
+    }
+    const auto failed = Retry("cannot_start", kAddressPatience,
+                              [this] { return CreateHost(); });
+    if (stop_signal_ != 0)
+      return End("stopped", SignalName(stop_signal_), kDone);
+    if (!failed.empty()) return End("cannot_start", failed, kCannotStart);
+    host_->OnStopped([this] { context_.stop(); });
+    AwaitReload();
+    RunHandlers(context_, [this](const char* detail) {
+      host_->LogHandlerFailure(detail);
+    });
+    // Requests that are still suspended refer to the host, the clock and the
+    // context; no order of destruction suits all of them.
+    ReportEnd("stopped", SignalName(stop_signal_));
+    std::_Exit(kDone);
   }
-  started = host->get();
-  started->OnStopped([&context] { context.stop(); });
-  int stop_signal = 0;
-  stops.async_wait([&](const boost::system::error_code& failure, int number) {
-    if (failure) return;
-    stop_signal = number;
-    started->Stop();
-  });
-  std::function<void()> await_reload = [&] {
-    reloads.async_wait([&](const boost::system::error_code& failure, int) {
+
+ private:
+  void AwaitStop() {
+    stops_.async_wait(
+        [this](const boost::system::error_code& failure, int number) {
+          if (failure) return;
+          stop_signal_ = number;
+          if (host_ != nullptr) host_->Stop();
+        });
+  }
+
+  void AwaitReload() {
+    reloads_.async_wait([this](const boost::system::error_code& failure, int) {
       if (failure) return;
-      started->OnReload();
-      await_reload();
+      host_->OnReload();
+      AwaitReload();
     });
-  };
-  await_reload();
-  RunHandlers(context, [started](const char* detail) {
-    started->LogHandlerFailure(detail);
-  });
-  // Requests that are still suspended refer to the host, the clock and the
-  // context; no order of destruction suits all of them.
-  ReportEnd("stopped", SignalName(stop_signal));
-  std::_Exit(kDone);
-}
+  }
+
+  // Repeats `attempt`, which returns what failed, until it succeeds, its time
+  // is over or the process is to stop. Returns the last failure.
+  std::string Retry(const char* cause, clock::duration patience,
+                    const std::function<std::string()>& attempt) {
+    const auto give_up = clock_.now() + patience;
+    std::string failed;
+    while (stop_signal_ == 0) {
+      const std::string previous = std::move(failed);
+      try {
+        failed = attempt();
+      } catch (const std::exception& failure) {
+        failed = failure.what();
+      }
+      if (failed.empty() || clock_.now() >= give_up) return failed;
+      if (failed != previous) {
+        LogProcessEvent("start_waits", cause, failed.c_str());
+      }
+      context_.run_for(kStartRetryInterval);
+      context_.restart();
+    }
+    return failed;
+  }
+
+  std::string LoadSettings() {
+    auto loaded = edge::edge_settings::Load(file_);
+    if (!loaded) return ToText(loaded.error());
+    settings_ = std::move(*loaded);
+    SetReportedHost(settings_.id.value());
+    return {};
+  }
+
+  std::string CreateHost() {
+    // Before any address is listened at, so that no caller is accepted by a
+    // host that cannot start.
+    if (auto failed = edge::UnavailableAddress(context_, settings_)) {
+      return *failed;
+    }
+    if (!store_) {
+      store_.emplace(
+          context_, clock_, settings_.store_address, settings_.store_timeout,
+          [this](const auto& kind, const auto& name, const auto& reason) {
+            if (host_ == nullptr) return;
+            host_->LogUnreadable(kind, name, reason);
+          });
+    }
+    auto host =
+        edge::edge_host::Create(context_, clock_, settings_, dialect_, *store_);
+    if (!host) return host.error().detail;
+    host_ = std::move(*host);
+    return {};
+  }
+
+  static int End(const char* cause, const std::string& detail, int status) {
+    ReportEnd(cause, detail.c_str());
+    return status;
+  }
+
+  static std::string ToText(const std::vector<setting_error>& errors) {
+    std::string text;
+    for (const auto& entry : errors) {
+      text += (text.empty() ? "" : "; ") + ToString(entry);
+    }
+    return text;
+  }
+
+  const std::string file_;
+  boost::asio::io_context context_;
+  // Before the host listens, so that no signal ends a process that has callers.
+  boost::asio::signal_set stops_{context_, SIGTERM, SIGINT};
+  boost::asio::signal_set reloads_{context_, SIGHUP};
+  asio_clock clock_{context_};
+  const platform::hosted_dialect dialect_;
+  edge::edge_settings settings_;
+  std::optional<platform::hosted_store> store_;
+  std::unique_ptr<edge::edge_host> host_;
+  int stop_signal_ = 0;
+};
 
 void PrintErrors(const std::vector<setting_error>& errors) {
   for (const auto& entry : errors) {
@@ -124,23 +218,28 @@
   }
 }
 
-// Validates the settings in `file` and, unless `check_only`, calls `run` with
-// them.
-template <class Settings, class RunFunction>
-int CheckAndRun(const std::string& file, bool check_only, RunFunction run) {
+// Validates the settings in `file`.
+template <class Settings>
+int Check(const std::string& file) {
   const auto settings = Settings::Load(file);
   if (!settings) {
     PrintErrors(settings.error());
-    if (!check_only) ReportEnd("settings_invalid", file.c_str());
     return kInvalidSettings;
   }
-  if (check_only) {
-    std::cout << file << ": valid" << std::endl;
-    return kDone;
+  std::cout << file << ": valid" << std::endl;
+  return kDone;
+}
+
+int LoadAndRun(const std::string& file) {
+  const auto settings = host_settings::Load(file);
+  if (!settings) {
+    PrintErrors(settings.error());
+    ReportEnd("settings_invalid", file.c_str());
+    return kInvalidSettings;
   }
   StartLogging(settings->log_level);
   SetReportedHost(settings->id.value());
-  return run(*settings);
+  return Run(*settings);
 }
 
 int Main(int argc, char** argv) {
@@ -160,10 +259,13 @@
       "invalid.");
   CLI11_PARSE(app, argc, argv);
 
-  if (hosted) {
-    return CheckAndRun<edge::edge_settings>(file, check_only, RunHosted);
+  if (check_only) {
+    return hosted ? Check<edge::edge_settings>(file)
+                  : Check<host_settings>(file);
   }
-  return CheckAndRun<host_settings>(file, check_only, Run);
+  if (!hosted) return LoadAndRun(file);
+  SetReportDescriptor(STDOUT_FILENO);
+  return hosted_run(file).Run();
 }
 
 }  // namespace
--- a/packages/daemon/tests/hosted_end_test.cpp
+++ b/packages/daemon/tests/hosted_end_test.cpp
@@ -201,6 +201,81 @@
   ExpectStopsOnSigterm();
 }
 
+class taken_address : public hosted_end,
+                      public ::testing::WithParamInterface<const char*> {};
+
+// Guards against a host that ends because another process holds one of its
+// addresses for a moment, and against callers that it accepts meanwhile.
+TEST_P(taken_address, IsAwaitedAtTheStart) {
+  const auto address = *ParseAddress(addresses_.at(GetParam()));
+  asio::io_context io;
+  std::optional<asio::ip::tcp::acceptor> listener;
+  std::optional<asio::ip::udp::socket> socket;
+  if (std::string(GetParam()) == "digests") {
+    socket.emplace(io,
+                   asio::ip::udp::endpoint(address.address(), address.port()));
+    ::fcntl(socket->native_handle(), F_SETFD, FD_CLOEXEC);
+  } else {
+    listener.emplace(io, address);
+    ::fcntl(listener->native_handle(), F_SETFD, FD_CLOEXEC);
+  }
+  Start();
+  EXPECT_TRUE(WaitUntil([this] { return Logged("start_waits"); }));
+  EXPECT_TRUE(Logged(addresses_.at(GetParam())));
+  const auto end = std::chrono::steady_clock::now() + seconds(2);
+  while (std::chrono::steady_clock::now() < end) {
+    for (const char* other : kListeners) {
+      if (std::string(other) == GetParam()) continue;
+      asio::ip::tcp::socket caller(io);
+      boost::system::error_code refused;
+      caller.connect(*ParseAddress(addresses_.at(other)), refused);
+      EXPECT_EQ(refused, asio::error::connection_refused) << other;
+    }
+    std::this_thread::sleep_for(milliseconds(50));
+  }
+  ASSERT_TRUE(host_->running());
+  listener.reset();
+  socket.reset();
+  EXPECT_TRUE(AwaitAnswers());
+  EXPECT_TRUE(Answers("ready"));
+  ExpectStopsOnSigterm();
+}
+
+INSTANTIATE_TEST_SUITE_P(each, taken_address, ::testing::ValuesIn(kListeners));
+
+// Guards against SIGTERM that has no effect while the host waits at its start.
+TEST_F(hosted_end, StopsWhileItWaitsForAnAddress) {
+  asio::io_context io;
+  asio::ip::tcp::acceptor listener(io, *ParseAddress(addresses_.at("ready")));
+  ::fcntl(listener.native_handle(), F_SETFD, FD_CLOEXEC);
+  Start();
+  ASSERT_TRUE(WaitUntil([this] { return Logged("start_waits"); }));
+  ExpectStopsOnSigterm();
+  EXPECT_TRUE(Logged(R"("event":"process_ended","cause":"stopped")"));
+}
+
+// Guards against a host that ends because its settings file is being replaced
+// while it starts.
+TEST_F(hosted_end, SettingsThatAreBeingReplacedAreAwaited) {
+  ::truncate(settings_.c_str(), 60);
+  Start();
+  EXPECT_TRUE(WaitUntil([this] { return Logged("settings_invalid"); }));
+  ::unlink(settings_.c_str());
+  std::this_thread::sleep_for(seconds(1));
+  ASSERT_TRUE(host_->running());
+  WriteSettings();
+  EXPECT_TRUE(AwaitAnswers());
+}
+
+// Guards against settings that stay wrong without an end and a reason.
+TEST_F(hosted_end, SettingsThatStayWrongEndIt) {
+  std::ofstream(settings_) << "[host]\ncores = many\n";
+  Start();
+  EXPECT_EQ(host_->Wait(seconds(60)), 2);
+  EXPECT_TRUE(Logged(R"("event":"process_ended","cause":"settings_invalid")"));
+  EXPECT_TRUE(Logged("[host] cores = 'many': allowed: a number"));
+}
+
 // Guards against an end without a line that names its cause.
 TEST_F(hosted_end, FatalSignalsAreNamed) {
   constexpr struct {
