edge_settings: check the memory that the environment states

What callers saw: a host that did not start, or that refused every request. BLUEBELL_MEMORY_MB was taken as the default of [host] memory_mb, and defaults are not checked: "much" ended the process by std::bad_optional_access, an empty value made the key required (exit 2), and 0 left a budget of no bytes for requests, without a line.

The value is checked like one in the file now. One that cannot be used is reported (`setting_ignored` with the variable and what is allowed), and 100 MB are in effect: a wrong statement of the platform must not keep a host from serving. A wrong value in the file stays an error, as do empty bounds.

Evidence: on the ten cases of unusable_memory fail: "", "much" and "260MB" without an answer for 30 s, the others without a line. Ruled out by the tests that were there: nan, inf, negative and empty bounds are reported.

--- a/packages/base/settings.cpp
+++ b/packages/base/settings.cpp
@@ -30,8 +30,19 @@
   return value;
 }
 
-// Describes the values that a rule admits, for error messages.
-std::string Allowed(const setting_rule& rule) {
+const setting_rule* FindRule(const std::vector<setting_rule>& rules,
+                             const std::string& section,
+                             const std::string& key) {
+  const auto found =
+      std::find_if(rules.begin(), rules.end(), [&](const setting_rule& rule) {
+        return rule.section == section && rule.key == key;
+      });
+  return found == rules.end() ? nullptr : &*found;
+}
+
+}  // namespace
+
+std::string AllowedValues(const setting_rule& rule) {
   switch (rule.type) {
     case setting_type::kText:
       return rule.choices.empty() ? "a non-empty text"
@@ -54,7 +65,9 @@
   return "";
 }
 
-bool Accepts(const setting_rule& rule, const std::string& value) {
+namespace {
+
+bool Allows(const setting_rule& rule, const std::string& value) {
   switch (rule.type) {
     case setting_type::kText:
       return rule.choices.empty()
@@ -83,18 +96,16 @@
   return false;
 }
 
-const setting_rule* FindRule(const std::vector<setting_rule>& rules,
-                             const std::string& section,
-                             const std::string& key) {
-  const auto found =
-      std::find_if(rules.begin(), rules.end(), [&](const setting_rule& rule) {
-        return rule.section == section && rule.key == key;
-      });
-  return found == rules.end() ? nullptr : &*found;
-}
-
 }  // namespace
 
+std::optional<double> ToDecimal(const setting_rule& rule,
+                                const std::string& value) {
+  if (rule.type != setting_type::kDecimal || !Allows(rule, value)) {
+    return std::nullopt;
+  }
+  return ParseDecimal(value);
+}
+
 std::string ToString(const setting_error& finding) {
   return fmt::format("{}: [{}] {} = '{}': allowed: {}", finding.file,
                      finding.section, finding.key, finding.value,
@@ -131,10 +142,12 @@
       const setting_rule* rule = FindRule(rules, section, key);
       if (rule == nullptr) {
         findings.push_back({file, section, key, node.data(), "no such key"});
-      } else if (!Accepts(*rule, node.data())) {
-        findings.push_back({file, section, key, node.data(), Allowed(*rule)});
+      } else if (!Allows(*rule, node.data())) {
+        findings.push_back(
+            {file, section, key, node.data(), AllowedValues(*rule)});
       } else {
         loaded.values_[{section, key}] = node.data();
+        loaded.set_.insert({section, key});
       }
     }
   }
@@ -146,8 +159,8 @@
           return finding.section == rule.section && finding.key == rule.key;
         });
     if (rule.required && !reported) {
-      findings.push_back(
-          {file, rule.section, rule.key, "", Allowed(rule) + " (required)"});
+      findings.push_back({file, rule.section, rule.key, "",
+                          AllowedValues(rule) + " (required)"});
     }
     loaded.values_[entry] = rule.default_value;
   }
@@ -155,6 +168,10 @@
   return loaded;
 }
 
+bool settings::IsSet(const std::string& section, const std::string& key) const {
+  return set_.count({section, key}) > 0;
+}
+
 const std::string& settings::Text(const std::string& section,
                                   const std::string& key) const {
   return values_.at({section, key});
--- a/packages/base/settings.h
+++ b/packages/base/settings.h
@@ -3,6 +3,8 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <tl/expected.hpp>
 #include <utility>
@@ -53,6 +55,13 @@
 /// Returns "file: [section] key = 'value': allowed: ...".
 std::string ToString(const setting_error& finding);
 
+/// `value` as a number, if `rule` is of a decimal and allows it.
+std::optional<double> ToDecimal(const setting_rule& rule,
+                                const std::string& value);
+
+/// Describes the values that `rule` allows, for messages.
+std::string AllowedValues(const setting_rule& rule);
+
 /// Checked settings of a process, read from an INI file.
 class settings {
  public:
@@ -61,6 +70,9 @@
   static tl::expected<settings, std::vector<setting_error>> Load(
       const std::string& file, const std::vector<setting_rule>& rules);
 
+  /// Whether the file has the setting; otherwise its default is in effect.
+  bool IsSet(const std::string& section, const std::string& key) const;
+
   /// Getters throw `std::out_of_range` for a setting without a rule.
   const std::string& Text(const std::string& section,
                           const std::string& key) const;
@@ -74,6 +86,7 @@
 
  private:
   std::map<std::pair<std::string, std::string>, std::string> values_;
+  std::set<std::pair<std::string, std::string>> set_;
 };
 
 /// Splits "a, b" at commas, trims blanks and drops empty parts.
--- a/packages/daemon/program/bluebellraild.cpp
+++ b/packages/daemon/program/bluebellraild.cpp
@@ -162,6 +162,10 @@
     if (!loaded) return ToText(loaded.error());
     settings_ = std::move(*loaded);
     SetReportedHost(settings_.id.value());
+    for (const auto& ignored : settings_.ignored) {
+      LogProcessEvent("setting_ignored", "default in effect",
+                      ToString(ignored).c_str());
+    }
     return {};
   }
 
--- a/packages/daemon/tests/hosted_end_test.cpp
+++ b/packages/daemon/tests/hosted_end_test.cpp
@@ -276,6 +276,37 @@
   EXPECT_TRUE(Logged("[host] cores = 'many': allowed: a number"));
 }
 
+class unusable_memory : public hosted_end,
+                        public ::testing::WithParamInterface<const char*> {};
+
+// Guards against a memory size in the environment that keeps the host from
+// starting or from serving.
+TEST_P(unusable_memory, IsReportedAndReplaced) {
+  Start([] { ::setenv("BLUEBELL_MEMORY_MB", GetParam(), 1); });
+  EXPECT_TRUE(AwaitAnswers());
+  EXPECT_TRUE(Logged("setting_ignored"));
+  EXPECT_TRUE(Logged("BLUEBELL_MEMORY_MB"));
+  ExpectStopsOnSigterm();
+}
+
+INSTANTIATE_TEST_SUITE_P(each, unusable_memory,
+                         ::testing::Values("", "0", "0.0", "-5", "much",
+                                           "260MB", "nan", "inf", "1e99",
+                                           "2e6"));
+
+class usable_memory : public hosted_end,
+                      public ::testing::WithParamInterface<const char*> {};
+
+// Guards against a form of a number that counts as unusable.
+TEST_P(usable_memory, IsTakenWithoutAWarning) {
+  Start([] { ::setenv("BLUEBELL_MEMORY_MB", GetParam(), 1); });
+  EXPECT_TRUE(AwaitAnswers());
+  EXPECT_FALSE(Logged("setting_ignored"));
+}
+
+INSTANTIATE_TEST_SUITE_P(each, usable_memory,
+                         ::testing::Values("260", "260.0", " 260 ", "2.6e2"));
+
 // Guards against an end without a line that names its cause.
 TEST_F(hosted_end, FatalSignalsAreNamed) {
   constexpr struct {
--- a/packages/edge/edge_settings.cpp
+++ b/packages/edge/edge_settings.cpp
@@ -1,5 +1,6 @@
 #include "edge/edge_settings.h"
 
+#include <boost/algorithm/string/trim.hpp>
 #include <cmath>
 #include <cstdlib>
 
@@ -38,11 +39,9 @@
   return Rule(std::move(section), std::move(key), setting_type::kAddress);
 }
 
-// Optional; without it, the environment tells the memory of the process.
 setting_rule MemoryMegabytes(std::string section, std::string key) {
-  const char* given = std::getenv(kMemoryVariable);
   auto rule = Rule(std::move(section), std::move(key), setting_type::kDecimal,
-                   given == nullptr ? kDefaultMemory : given);
+                   kDefaultMemory);
   rule.minimum = 1;
   rule.maximum = kMaxMemory;
   return rule;
@@ -74,6 +73,24 @@
                  kMaxMilliseconds / kMillisecondsPerSecond);
 }
 
+// Memory of the process in MiB: the setting's own value or, as its default, the
+// environment's. A value of the environment that cannot be used is reported in
+// `ignored`.
+double MemoryOfProcess(const settings& read,
+                       std::vector<setting_error>& ignored) {
+  const char* given = std::getenv(kMemoryVariable);
+  if (read.IsSet("host", "memory_mb") || given == nullptr) {
+    return read.Decimal("host", "memory_mb");
+  }
+  const auto rule = MemoryMegabytes("host", "memory_mb");
+  if (const auto value = ToDecimal(rule, boost::trim_copy(std::string(given))))
+    return *value;
+  ignored.push_back(
+      {"environment", "", kMemoryVariable, given,
+       AllowedValues(rule) + "; in effect: " + rule.default_value});
+  return read.Decimal("host", "memory_mb");
+}
+
 // Rounded down: most durations here are upper limits.
 milliseconds ToWholeMilliseconds(double value) {
   return milliseconds(static_cast<std::int64_t>(std::floor(value)));
@@ -86,7 +103,7 @@
       Text("host", "id"),
       Text("host", "zone"),
       Decimal("host", "cores", kMaxCores),
-      // Memory of the process, from the environment if the file has none.
+      // Memory of the process; without it, the environment's.
       MemoryMegabytes("host", "memory_mb"),
       Address("listen", "callers"),
       Address("listen", "ready"),
@@ -129,7 +146,7 @@
   loaded.capacity =
       static_cast<int>(read->Decimal("host", "cores") * kMillicoresPerCore);
   loaded.held_bytes = static_cast<std::size_t>(
-      read->Decimal("host", "memory_mb") * kHeldShare * kBytesPerMegabyte);
+      MemoryOfProcess(*read, loaded.ignored) * kHeldShare * kBytesPerMegabyte);
   loaded.callers_listen = read->Text("listen", "callers");
   loaded.ready_listen = read->Text("listen", "ready");
   loaded.directory_listen = read->Text("listen", "directory");
--- a/packages/edge/edge_settings.h
+++ b/packages/edge/edge_settings.h
@@ -45,6 +45,8 @@
   /// Time for which callers may cache an address answer.
   milliseconds directory_lifetime{};
   std::string log_level;
+  /// Optional values that cannot be used; the defaults are in effect.
+  std::vector<setting_error> ignored;
 
   /// Reads and validates the INI file; returns all errors found.
   static tl::expected<edge_settings, std::vector<setting_error>> Load(
--- a/packages/edge/tests/edge_settings_test.cpp
+++ b/packages/edge/tests/edge_settings_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <cstdio>
+#include <cstdlib>
 #include <fstream>
 
 namespace bluebell::edge {
@@ -73,5 +74,41 @@
   }
 }
 
+// Guards against a file from an editor or a template with other line ends and
+// blanks.
+TEST(edge_settings_test, LineEndsAndBlanksDoNotMatter) {
+  const auto loaded = LoadWithBounds(
+      "key_withdrawal_ms =  5000 \r\nstop_grace_s=8\r\n"
+      "placement_pause_ms\t= 3000\t\r\nquota_window_s = 10\r\n"
+      "retry_window_s = 10\r\nretry_ratio = 0.2\r\nretry_slack = 56");
+  ASSERT_TRUE(loaded) << ToString(loaded.error().front());
+  EXPECT_EQ(loaded->key_withdrawal, milliseconds(5000));
+  EXPECT_DOUBLE_EQ(loaded->retries.slack, 56);
+}
+
+// Guards against an exception when the environment's memory is no number.
+TEST(edge_settings_test, MemoryOfTheEnvironmentIsChecked) {
+  const auto bounds = Bounds("5000", "8", "3000", "10", "0.2", "56");
+  constexpr std::size_t kMegabyte = 1024 * 1024;
+  struct {
+    const char* value;
+    std::size_t held;
+    bool ignored;
+  } const cases[] = {
+      {"260", 65 * kMegabyte, false}, {" 260.0\n", 65 * kMegabyte, false},
+      {"", 25 * kMegabyte, true},     {"0", 25 * kMegabyte, true},
+      {"many", 25 * kMegabyte, true}, {"nan", 25 * kMegabyte, true},
+      {"-1", 25 * kMegabyte, true},   {"inf", 25 * kMegabyte, true},
+  };
+  for (const auto& expected : cases) {
+    ::setenv("BLUEBELL_MEMORY_MB", expected.value, 1);
+    const auto loaded = LoadWithBounds(bounds);
+    ASSERT_TRUE(loaded) << expected.value;
+    EXPECT_EQ(loaded->held_bytes, expected.held) << expected.value;
+    EXPECT_EQ(!loaded->ignored.empty(), expected.ignored) << expected.value;
+  }
+  ::unsetenv("BLUEBELL_MEMORY_MB");
+}
+
 }  // namespace
 }  // namespace bluebell::edge
