serving: bound the nesting of messages between hosts

A datagram of 64 KB that holds arrays in arrays ended the host that read it (SIGSEGV, all requests in its hands lost): the library's CBOR reader recurses once per level, and the task that reads datagrams has a stack of 512 KB. Any sender that reaches the digest port is enough; a datagram is decoded before its sender is looked at. The class is a recursion whose depth the peer chooses.

All decoders of messages between hosts now use it, those of digests and sync messages too, which had a copy of their own. Messages of older builds read as before.

Ruled out: the lists of the store (object_page bounds their depth) and peer frames (frame.cpp has a bound).

--- a/packages/serving/cbor_message.h
+++ b/packages/serving/cbor_message.h
@@ -14,13 +14,17 @@
   return {bytes.begin(), bytes.end()};
 }
 
+/// Reads a CBOR datagram. Throws `nlohmann::json::exception` if it is malformed
+/// or nested deeper than any message.
+nlohmann::json FromBytes(std::string_view bytes);
+
 /// Applies `decode` to the message in `bytes`. Error `kInvalidArgument` if
 /// either throws `nlohmann::json::exception`.
 template <class Decode>
 auto Decoded(std::string_view bytes, const Decode& decode)
     -> result<decltype(decode(nlohmann::json()))> {
   try {
-    return decode(nlohmann::json::from_cbor(bytes.begin(), bytes.end()));
+    return decode(FromBytes(bytes));
   } catch (const nlohmann::json::exception& failure) {
     return Fail(error_code::kInvalidArgument, failure.what());
   }
--- a/packages/serving/host_digest.cpp
+++ b/packages/serving/host_digest.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/utf8.h"
+#include "serving/cbor_message.h"
 #include "serving/limit_codec.h"
 
 namespace bluebell::serving {
@@ -244,13 +245,12 @@
   if (!digest.partial) EncodeState(digest, out);
   EncodeOutcomes(digest.outcomes, out);
   EncodeMessages(digest, out);
-  const auto bytes = json::to_cbor(out);
-  return {bytes.begin(), bytes.end()};
+  return ToBytes(out);
 }
 
 result<host_digest> DecodeDigest(std::string_view bytes) {
   try {
-    const json in = json::from_cbor(bytes.begin(), bytes.end());
+    const json in = FromBytes(bytes);
     host_digest digest;
     digest.host = host_id(in.at("host").get<std::string>());
     digest.incarnation = in.at("inc").get<std::string>();
--- a/packages/serving/sync_messages.cpp
+++ b/packages/serving/sync_messages.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "serving/cbor_message.h"
+
 namespace bluebell::serving {
 namespace {
 
@@ -52,11 +54,6 @@
   return record;
 }
 
-std::string ToBytes(const json& message) {
-  const auto bytes = json::to_cbor(message);
-  return {bytes.begin(), bytes.end()};
-}
-
 }  // namespace
 
 std::string EncodeSyncRequest(const sync_request& request) {
@@ -65,7 +62,7 @@
 
 result<sync_request> DecodeSyncRequest(std::string_view bytes) {
   try {
-    const json in = json::from_cbor(bytes.begin(), bytes.end());
+    const json in = FromBytes(bytes);
     return sync_request{in.at(0).get<std::uint64_t>(),
                         in.at(1).get<std::string>(),
                         in.at(2).get<std::uint64_t>()};
@@ -100,7 +97,7 @@
 
 result<sync_response> DecodeSyncResponse(std::string_view bytes) {
   try {
-    const json in = json::from_cbor(bytes.begin(), bytes.end());
+    const json in = FromBytes(bytes);
     sync_response response;
     response.number = in.at(0).get<std::uint64_t>();
     response.config_version = in.at(1).get<std::uint64_t>();
