http_server: tell why a connection was closed for its request's size

connection_status carries the cause and the peer's address once a request was refused for its size or for want of memory, so that the host can log and count it.

--- a/packages/gateway/http_server.cpp
+++ b/packages/gateway/http_server.cpp
@@ -447,6 +447,17 @@
   bool SendRequestError(const io_error& ec, asio::yield_context yield) {
     const auto code = ToProblem(ec);
     if (!code) return false;
+    if (code == problem_code::kHeadersTooLarge ||
+        code == problem_code::kBodyTooLarge ||
+        code == problem_code::kNotReady) {
+      status_.cut_off = code;
+      io_error unknown;
+      const auto remote = stream_.socket().remote_endpoint(unknown);
+      if (!unknown) {
+        status_.peer =
+            remote.address().to_string() + ":" + std::to_string(remote.port());
+      }
+    }
     const auto detector =
         std::make_shared<disconnect_detector>(stream_.socket());
     connection_writer writer(stream_, state_->limits, detector,
--- a/packages/gateway/http_server.h
+++ b/packages/gateway/http_server.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -46,6 +47,10 @@
 struct connection_status {
   connection_position position;
   connection_phase phase = connection_phase::kIdle;
+  /// Why the connection was closed for the size of a request.
+  std::optional<problem_code> cut_off;
+  /// Address of the peer, `IPv4:port`; set with `cut_off`.
+  std::string peer;
 };
 
 /// HTTP/1.1 listener. Each connection is a coroutine that reads one request,
