edge: log and count connections closed for what their peer sent

A connection that reached a bound on bytes was closed without a trace of the peer or the cause: the log had the reader's message in send_end at most, and for reports, orders, the store and callers nothing.

endpoint_connection now keeps the cause (unparsed bytes, body, event, memory budget) and closes at once; peer_cut_off names the kind of peer, its address and the cause, and cut_off_* on the metrics address counts by cause. Reports of engines and the answers that test a connection count in the memory budget, which they did not.

--- a/packages/edge/edge_host.cpp
+++ b/packages/edge/edge_host.cpp
@@ -12,6 +12,7 @@
 #include "edge/edge_state.h"
 #include "edge/engine_prober.h"
 #include "edge/pause.h"
+#include "edge/peer_cut_off.h"
 #include "edge/placement_runner.h"
 #include "edge/quarantine_sync.h"
 #include "edge/request_relay.h"
@@ -92,6 +93,21 @@
   return std::to_string(source()) + "-" + std::to_string(source());
 }
 
+// Reports a connection of a caller or another host that was closed for the size
+// of a request.
+void LogRequestCutOff(edge_state& state, const char* kind,
+                      const gateway::connection_status& last) {
+  if (!last.cut_off) return;
+  auto cause = gateway::excess::kMemory;
+  if (*last.cut_off == problem_code::kHeadersTooLarge) {
+    cause = gateway::excess::kUnparsed;
+  }
+  if (*last.cut_off == problem_code::kBodyTooLarge) {
+    cause = gateway::excess::kBody;
+  }
+  ReportCutOff(state, kind, last.peer, cause);
+}
+
 // While the host stops, logs each caller's connection that ends; before that
 // only those that end within a request.
 void LogConnectionEnd(edge_state& state,
@@ -243,8 +259,15 @@
                             RelayForwarded(host->state, request, sink, yield);
                           });
   if (host->callers) {
-    host->callers->OnConnectionEnd(
-        [host](const auto& last) { LogConnectionEnd(host->state, last); });
+    host->callers->OnConnectionEnd([host](const auto& last) {
+      LogRequestCutOff(host->state, "caller", last);
+      LogConnectionEnd(host->state, last);
+    });
+  }
+  if (host->forwards) {
+    host->forwards->OnConnectionEnd([host](const auto& last) {
+      LogRequestCutOff(host->state, "host", last);
+    });
   }
   host->ready = listen(
       settings.ready_listen, {}, [host](const auto&, auto& sink, auto yield) {
@@ -383,4 +406,9 @@
                          {{"kind", kind}, {"name", name}, {"detail", why}});
 }
 
+void edge_host::ReportStoreCutOff(gateway::excess cause) {
+  ReportCutOff(impl_->state, "store", impl_->state.settings.store_address,
+               cause);
+}
+
 }  // namespace bluebell::edge
--- a/packages/edge/edge_host.h
+++ b/packages/edge/edge_host.h
@@ -9,6 +9,7 @@
 #include "edge/deployment_store.h"
 #include "edge/edge_settings.h"
 #include "edge/request_dialect.h"
+#include "gateway/endpoint_connection.h"
 
 namespace bluebell::edge {
 
@@ -38,6 +39,8 @@
   /// Logs a store object that cannot be parsed.
   void LogUnreadable(const std::string& kind, const std::string& name,
                      const std::string& why);
+  /// Logs and counts a connection to the store that was cut off.
+  void ReportStoreCutOff(gateway::excess cause);
 
  private:
   struct impl;
--- a/packages/edge/placement_runner.cpp
+++ b/packages/edge/placement_runner.cpp
@@ -5,6 +5,7 @@
 
 #include "edge/engine_statements.h"
 #include "edge/pause.h"
+#include "edge/peer_cut_off.h"
 #include "gateway/network.h"
 #include "serving/adapter_planner.h"
 
@@ -378,6 +379,7 @@
                                    kOrderTimeout);
         }
       }
+      ReportCutOff(host_, "engine", address, lease->connection.get());
     }
   }
   auto& after = OrdersOf(order.engine);
@@ -427,11 +429,13 @@
     return std::nullopt;
   }
   const auto head = lease->connection->ReadHead(kOrderTimeout, yield);
-  if (!head) return std::nullopt;
-  OnEngineAnswer(host_, id, *head);
-  if (head->status != 200) return std::nullopt;
-  const auto body =
-      lease->connection->ReadBody(1024 * 1024, kOrderTimeout, yield);
+  if (head) OnEngineAnswer(host_, id, *head);
+  byte_share held(host_.memory);
+  const auto body = head && head->status == 200
+                        ? lease->connection->ReadBody(
+                              1024 * 1024, kOrderTimeout, yield, &held)
+                        : Fail(error_code::kUnavailable, "no report");
+  ReportCutOff(host_, "engine", address, lease->connection.get());
   if (!body) return std::nullopt;
   host_.connections.Return(id, std::move(*lease), kOrderTimeout);
   auto report = host_.dialect.ReadReport(*body);
--- a/packages/edge/request_forward.cpp
+++ b/packages/edge/request_forward.cpp
@@ -2,6 +2,7 @@
 #include <charconv>
 #include <random>
 
+#include "edge/peer_cut_off.h"
 #include "edge/relayed_request.h"
 
 namespace bluebell::edge {
@@ -65,6 +66,7 @@
   reused_ = lease->reused;
   active_connection_ = lease->connection.get();
   const auto result = Exchange(id, *lease, 0);
+  ReportCutOff(host_, "host", address, lease->connection.get());
   active_connection_ = nullptr;
   return result;
 }
--- a/packages/edge/request_send.cpp
+++ b/packages/edge/request_send.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "edge/engine_statements.h"
+#include "edge/peer_cut_off.h"
 #include "edge/relayed_request.h"
 #include "edge/stream_events.h"
 #include "gateway/listener_probe.h"
@@ -209,6 +210,7 @@
   active_connection_ = lease->connection.get();
   const auto send = host_.reach.OnSend(id);
   const send_result result = Exchange(id, *lease, typical_answer_s);
+  ReportCutOff(host_, "engine", engine_address_, lease->connection.get());
   host_.reach.OnEnd(send);
   active_connection_ = nullptr;
   const bool failed =
@@ -234,11 +236,12 @@
   if (!connection.Send(report_request, kLivenessTimeout, yield_, true))
     return false;
   const auto head = connection.ReadHead(kLivenessTimeout, yield_);
-  if (!head) return false;
-  OnEngineAnswer(host_, id, *head);
-  if (head->status != 200) return false;
-  return connection.ReadBody(kMaxAnswerBytes, kLivenessTimeout, yield_) &&
-         connection.reusable();
+  if (head) OnEngineAnswer(host_, id, *head);
+  const bool read =
+      head && head->status == 200 &&
+      connection.ReadBody(kMaxAnswerBytes, kLivenessTimeout, yield_, &held_);
+  ReportCutOff(host_, "engine", engine_address_, &connection);
+  return read && connection.reusable();
 }
 
 engine_answer relayed_request::ReadAnswer(const endpoint_id& id,
@@ -424,8 +427,12 @@
     pending += *part;
     const auto complete = CompleteEvents(pending, scanned);
     if (complete == 0) {
-      if (pending.size() > kMaxEventBytes) return break_off("event too large");
+      if (pending.size() > kMaxEventBytes) {
+        lease.connection->CutOff(gateway::excess::kEvent);
+        return break_off("event too large");
+      }
       if (!held_.Resize(pending.size())) {
+        lease.connection->CutOff(gateway::excess::kMemory);
         return break_off("too many answers are held");
       }
       continue;
--- a/packages/gateway/endpoint_connection.cpp
+++ b/packages/gateway/endpoint_connection.cpp
@@ -22,10 +22,14 @@
 constexpr std::size_t kReadBytes = 4 * 1024;
 constexpr std::uint32_t kMaxHeadBytes = 64 * 1024;
 
+bool IsExcess(const io_error& ec) {
+  return ec == http::error::buffer_overflow || ec == http::error::header_limit;
+}
+
 error ToError(const io_error& ec) {
-  const error_code code = ec == beast::error::timeout
-                              ? error_code::kTimeout
-                              : error_code::kOutcomeUnknown;
+  error_code code = error_code::kOutcomeUnknown;
+  if (ec == beast::error::timeout) code = error_code::kTimeout;
+  if (IsExcess(ec)) code = error_code::kTooLarge;
   return {code, ec.message()};
 }
 
@@ -43,6 +47,20 @@
   return "";
 }
 
+const char* ToString(excess cause) {
+  switch (cause) {
+    case excess::kUnparsed:
+      return "unparsed";
+    case excess::kBody:
+      return "body";
+    case excess::kEvent:
+      return "event";
+    case excess::kMemory:
+      return "memory";
+  }
+  return "";
+}
+
 struct endpoint_connection::state {
   explicit state(asio::io_context& context) : stream(context) { Reset(); }
 
@@ -57,6 +75,7 @@
   std::optional<http::response_parser<http::buffer_body>> parser;
   std::array<char, kReadBytes> part;
   bool used = false;
+  std::optional<excess> cut_off;
 };
 
 endpoint_connection::endpoint_connection(std::unique_ptr<state> opened)
@@ -69,6 +88,15 @@
   state_->stream.socket().close(ignored);
 }
 
+void endpoint_connection::CutOff(excess cause) {
+  state_->cut_off = cause;
+  Close();
+}
+
+std::optional<excess> endpoint_connection::cut_off() const {
+  return state_->cut_off;
+}
+
 result<std::unique_ptr<endpoint_connection>> endpoint_connection::Connect(
     asio::io_context& context, const std::string& address,
     std::chrono::milliseconds timeout, asio::yield_context yield) {
@@ -92,7 +120,7 @@
                                        bool keep_alive) {
   if (state_->used) state_->Reset();
   state_->used = true;
-  http::request<http::string_body> message;
+  http::request<http::span_body<const char>> message;
   message.method_string(request.method);
   message.target(request.query.empty() ? request.path
                                        : request.path + "?" + request.query);
@@ -101,7 +129,7 @@
     message.insert(field.name, field.value);
   }
   message.keep_alive(keep_alive);
-  message.body() = request.body;
+  message.body() = {request.body.data(), request.body.size()};
   message.prepare_payload();
   io_error ec;
   state_->stream.expires_after(timeout);
@@ -141,6 +169,7 @@
   state_->stream.expires_after(timeout);
   http::async_read_header(state_->stream, state_->buffer, *state_->parser,
                           yield[ec]);
+  if (IsExcess(ec)) CutOff(excess::kUnparsed);
   if (ec) return tl::unexpected(ToError(ec));
   http_response head;
   head.status = state_->parser->get().result_int();
@@ -160,6 +189,7 @@
     io_error ec;
     state_->stream.expires_after(timeout);
     http::async_read_some(state_->stream, state_->buffer, parser, yield[ec]);
+    if (IsExcess(ec)) CutOff(excess::kUnparsed);
     if (ec && ec != http::error::need_buffer) {
       return tl::unexpected(ToError(ec));
     }
@@ -184,9 +214,11 @@
     if (part->empty()) return body;
     body += *part;
     if (body.size() > limit) {
+      CutOff(excess::kBody);
       return Fail(error_code::kTooLarge, "the answer is too large");
     }
     if (held != nullptr && !held->Resize(body.size())) {
+      CutOff(excess::kMemory);
       return Fail(error_code::kTooLarge, "too many answers are held");
     }
   }
--- a/packages/gateway/endpoint_connection.h
+++ b/packages/gateway/endpoint_connection.h
@@ -4,6 +4,7 @@
 #include <boost/asio/spawn.hpp>
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "base/byte_budget.h"
@@ -22,6 +23,20 @@
 
 const char* ToString(body_framing framing);
 
+/// What an endpoint sent more of than a connection may hold.
+enum class excess {
+  /// A head, the line of a chunk, or a trailer.
+  kUnparsed,
+  /// A body above the reader's limit.
+  kBody,
+  /// One event of a stream.
+  kEvent,
+  /// A body that the memory budget could not hold.
+  kMemory,
+};
+
+const char* ToString(excess cause);
+
 /// A connection to an endpoint that carries one request at a time.
 ///
 /// The owner decides whether to reuse it: an idle connection may be dead
@@ -40,11 +55,13 @@
   result<void> Send(const http_request& request,
                     std::chrono::milliseconds timeout,
                     boost::asio::yield_context yield, bool keep_alive = false);
-  /// Reads status and header fields. Errors: `kTimeout`, `kOutcomeUnknown`.
+  /// Reads status and header fields. Errors: `kTimeout`, `kTooLarge`,
+  /// `kOutcomeUnknown`.
   result<http_response> ReadHead(std::chrono::milliseconds timeout,
                                  boost::asio::yield_context yield);
   /// Reads the next bytes of the body; returns an empty string at its end.
-  /// Errors: `kTimeout`, and `kOutcomeUnknown` for a truncated body.
+  /// Errors: `kTimeout`, `kTooLarge` for a line of a chunk or a trailer, and
+  /// `kOutcomeUnknown` for a truncated body.
   result<std::string> ReadSome(std::chrono::milliseconds timeout,
                                boost::asio::yield_context yield);
   /// Reads the rest of the body, within `timeout` for all of it. Error
@@ -66,6 +83,10 @@
   bool open_and_idle();
   /// Closes the connection; pending reads and writes fail with an error.
   void Close();
+  /// Closes the connection for what the endpoint sent.
+  void CutOff(excess cause);
+  /// Why the connection was cut off, also by a read; none if it was not.
+  std::optional<excess> cut_off() const;
 
   struct state;
 
