hosted_store: bound what answers and lists of the store hold

Answers of the store were bounded one by one (16 MB) and lists by their number of pages (40), so that the calls of a host together, or one list, could take several hundred MB.

They now share a budget of an eighth of the process's memory. An answer or a list beyond it is given up, logged and counted (peer_cut_off, kind store).

--- a/packages/daemon/program/bluebellraild.cpp
+++ b/packages/daemon/program/bluebellraild.cpp
@@ -8,8 +8,10 @@
 #include <cstdlib>
 #include <functional>
 #include <iostream>
+#include <memory>
 
 #include "base/asio_clock.h"
+#include "base/byte_budget.h"
 #include "daemon/host_process.h"
 #include "daemon/host_settings.h"
 #include "edge/edge_host.h"
@@ -59,13 +61,15 @@
       context, clock, settings.store_address, settings.store_timeout,
       [&started](const auto& kind, const auto& name, const auto& reason) {
         if (started != nullptr) started->LogUnreadable(kind, name, reason);
-      });
+      },
+      std::make_shared<byte_budget>(settings.store_bytes));
   auto host = edge::edge_host::Create(context, clock, settings, dialect, store);
   if (!host) {
     std::cerr << "cannot start: " << host.error().detail << std::endl;
     return kCannotStart;
   }
   started = host->get();
+  store.OnCutOff([started](auto cause) { started->ReportStoreCutOff(cause); });
   started->OnStopped([&context] { context.stop(); });
   stops.async_wait([started](const boost::system::error_code& failure, int) {
     if (!failure) started->Stop();
--- a/packages/edge/edge_settings.cpp
+++ b/packages/edge/edge_settings.cpp
@@ -18,6 +18,9 @@
 constexpr double kBytesPerMegabyte = 1024 * 1024;
 // Part of the memory for requests and answers.
 constexpr double kHeldShare = 0.25;
+// Part of the memory for answers of the store; a value read from one takes
+// several times its bytes.
+constexpr double kStoreShare = 0.125;
 
 setting_rule Rule(std::string section, std::string key, setting_type type,
                   std::string default_value = {}) {
@@ -128,8 +131,9 @@
   loaded.zone = zone_id(read->Text("host", "zone"));
   loaded.capacity =
       static_cast<int>(read->Decimal("host", "cores") * kMillicoresPerCore);
-  loaded.held_bytes = static_cast<std::size_t>(
-      read->Decimal("host", "memory_mb") * kHeldShare * kBytesPerMegabyte);
+  const double memory = read->Decimal("host", "memory_mb") * kBytesPerMegabyte;
+  loaded.held_bytes = static_cast<std::size_t>(memory * kHeldShare);
+  loaded.store_bytes = static_cast<std::size_t>(memory * kStoreShare);
   loaded.callers_listen = read->Text("listen", "callers");
   loaded.ready_listen = read->Text("listen", "ready");
   loaded.directory_listen = read->Text("listen", "directory");
--- a/packages/edge/edge_settings.h
+++ b/packages/edge/edge_settings.h
@@ -21,6 +21,8 @@
   int capacity = 0;
   /// Bytes of requests and answers that the host holds at once.
   std::size_t held_bytes = 25 * 1024 * 1024;
+  /// Bytes of answers of the store that the host holds at once.
+  std::size_t store_bytes = 12 * 1024 * 1024;
   /// Listen addresses, `IPv4:port`; the metrics and digest ports are bound on
   /// the host's own address.
   std::string callers_listen;
