edge: send a request's body without copying it

A request in flight was held three times while it was sent, and twice until its answer came, forwarded ones once more, but counted once in the memory budget: the request received, the one for the engine, and the message that is written.

The request for the engine has no body of its own now; the one received is written as it is.

--- a/packages/edge/request_dialect.h
+++ b/packages/edge/request_dialect.h
@@ -97,7 +97,8 @@
 
   virtual caller_request ReadRequest(const http_request& received) const = 0;
   /// Builds the request for the engine from the caller's, without hop-by-hop
-  /// fields and fields that only this system may set.
+  /// fields and fields that only this system may set, and without its body,
+  /// which may be large and is sent as received.
   virtual http_request EngineRequest(const http_request& received,
                                      const engine_call& call) const = 0;
   virtual engine_answer ReadAnswer(const http_response& head,
--- a/packages/edge/request_relay.cpp
+++ b/packages/edge/request_relay.cpp
@@ -606,8 +606,7 @@
     sink.SendResponse(answer, yield);
     return;
   }
-  const auto request = WithoutForwardedCall(received);
-  relayed_request(host, request, sink, yield, call).Run();
+  relayed_request(host, received, sink, yield, call).Run();
 }
 
 void EndOpenRequests(edge_state& host) {
--- a/packages/edge/request_send.cpp
+++ b/packages/edge/request_send.cpp
@@ -278,10 +278,11 @@
   if (is_model_) call.urgency = Urgency();
   call.last_event = last_event_;
   const bool forwards = !forwarding_to_.value().empty();
-  const auto request = forwards ? ForwardedRequest(call)
-                                : host_.dialect.EngineRequest(received_, call);
+  auto request = forwards ? ForwardedRequest(call)
+                          : host_.dialect.EngineRequest(received_, call);
+  if (forwarded_) request = WithoutForwardedCall(std::move(request));
   if (BeginsStream()) RecordStart();
-  if (!connection.Send(request, TimeLeft(), yield_, true))
+  if (!connection.Send(request, received_.body, TimeLeft(), yield_, true))
     return OnConnectionLost();
   const auto limit = forwards ? std::max(TimeLeft(), milliseconds(1))
                               : AnswerTimeout(typical_answer_s);
--- a/packages/gateway/endpoint_connection.cpp
+++ b/packages/gateway/endpoint_connection.cpp
@@ -118,6 +118,14 @@
                                        std::chrono::milliseconds timeout,
                                        asio::yield_context yield,
                                        bool keep_alive) {
+  return Send(request, request.body, timeout, yield, keep_alive);
+}
+
+result<void> endpoint_connection::Send(const http_request& request,
+                                       std::string_view body,
+                                       std::chrono::milliseconds timeout,
+                                       asio::yield_context yield,
+                                       bool keep_alive) {
   if (state_->used) state_->Reset();
   state_->used = true;
   http::request<http::span_body<const char>> message;
@@ -129,7 +137,7 @@
     message.insert(field.name, field.value);
   }
   message.keep_alive(keep_alive);
-  message.body() = {request.body.data(), request.body.size()};
+  message.body() = {body.data(), body.size()};
   message.prepare_payload();
   io_error ec;
   state_->stream.expires_after(timeout);
--- a/packages/gateway/endpoint_connection.h
+++ b/packages/gateway/endpoint_connection.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "base/byte_budget.h"
 #include "base/result.h"
@@ -55,6 +56,10 @@
   result<void> Send(const http_request& request,
                     std::chrono::milliseconds timeout,
                     boost::asio::yield_context yield, bool keep_alive = false);
+  /// The same with `body` in place of the request's own.
+  result<void> Send(const http_request& request, std::string_view body,
+                    std::chrono::milliseconds timeout,
+                    boost::asio::yield_context yield, bool keep_alive);
   /// Reads status and header fields. Errors: `kTimeout`, `kTooLarge`,
   /// `kOutcomeUnknown`.
   result<http_response> ReadHead(std::chrono::milliseconds timeout,
