endpoint_connection: count the space of an answer, also while it grows

The space of an answer that grows is up to twice its bytes, and for a moment three times; the memory budget counted the bytes. The space is now taken from the budget before it is allocated.

--- a/packages/gateway/endpoint_connection.cpp
+++ b/packages/gateway/endpoint_connection.cpp
@@ -1,5 +1,6 @@
 #include "gateway/endpoint_connection.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
@@ -220,15 +221,22 @@
     auto part = ReadSome(left, yield);
     if (!part) return part;
     if (part->empty()) return body;
-    body += *part;
-    if (body.size() > limit) {
+    const std::size_t bytes = body.size() + part->size();
+    if (bytes > limit) {
       CutOff(excess::kBody);
       return Fail(error_code::kTooLarge, "the answer is too large");
     }
-    if (held != nullptr && !held->Resize(body.size())) {
-      CutOff(excess::kMemory);
-      return Fail(error_code::kTooLarge, "too many answers are held");
+    // The old space is given back after the new one was filled.
+    if (bytes > body.capacity()) {
+      const std::size_t space = std::max(bytes, 2 * body.capacity());
+      if (held != nullptr && !held->Resize(body.capacity() + space)) {
+        CutOff(excess::kMemory);
+        return Fail(error_code::kTooLarge, "too many answers are held");
+      }
+      body.reserve(space);
+      if (held != nullptr) held->Resize(space);
     }
+    body += *part;
   }
 }
 
