edge_host: keep the platform's listeners out of the callers' budget

Readiness, addresses and metrics shared the memory budget of callers. Its requests are small and bounded by their own limits.

Suspected, not shown by a test of its own: the readiness answer.

--- a/packages/edge/edge_host.cpp
+++ b/packages/edge/edge_host.cpp
@@ -37,6 +37,8 @@
 constexpr milliseconds kLastAnswersPeriod{400};
 // Limits these log lines to one per second and engine or part.
 constexpr milliseconds kChangeLogInterval{1000};
+// Requests to the listeners of the platform have no body.
+constexpr std::uint64_t kMaxLocalBodyBytes = 4096;
 // A loop that fails again and again must not take the processor.
 constexpr milliseconds kTaskRestartDelay{500};
 
@@ -234,7 +236,6 @@
   const auto listen = [&](const std::string& address,
                           gateway::http_limits limits,
                           http_server::handler handler) {
-    limits.memory = host->state.memory;
     auto server =
         http_server::Listen(context, address, limits, std::move(handler),
                             RejectMalformed(host->state));
@@ -250,11 +251,16 @@
     host->callers->SetLimits(limits);
     host->forwards->SetLimits(ToForwardLimits(limits));
   };
-  host->callers = listen(settings.callers_listen, ToHttpLimits({}),
+  // The platform's own calls do not depend on what callers hold.
+  gateway::http_limits local;
+  local.max_body_bytes = kMaxLocalBodyBytes;
+  auto shared = ToHttpLimits({});
+  shared.memory = host->state.memory;
+  host->callers = listen(settings.callers_listen, shared,
                          [host](const auto& request, auto& sink, auto yield) {
                            RelayRequest(host->state, request, sink, yield);
                          });
-  host->forwards = listen(settings.forwards_listen, ToForwardLimits({}),
+  host->forwards = listen(settings.forwards_listen, ToForwardLimits(shared),
                           [host](const auto& request, auto& sink, auto yield) {
                             RelayForwarded(host->state, request, sink, yield);
                           });
@@ -270,14 +276,15 @@
     });
   }
   host->ready = listen(
-      settings.ready_listen, {}, [host](const auto&, auto& sink, auto yield) {
+      settings.ready_listen, local,
+      [host](const auto&, auto& sink, auto yield) {
         sink.SendResponse(
             host->state.dialect.LocalAnswer(host->state.Serving() ? 200 : 503,
                                             request_id(), std::nullopt),
             yield);
       });
   host->directory = listen(
-      settings.directory_listen, {},
+      settings.directory_listen, local,
       [host](const auto& request, auto& sink, auto yield) {
         const auto& dialect = host->state.dialect;
         const auto query = dialect.ReadAddressQuery(request);
@@ -295,13 +302,14 @@
                       addresses, host->state.settings.directory_lifetime),
             yield);
       });
-  host->metrics = listen(
-      settings.metrics_listen, {}, [host](const auto&, auto& sink, auto yield) {
-        gateway::http_response answer;
-        answer.fields.Add("Content-Type", "text/plain; version=0.0.4");
-        answer.body = host->state.metrics.Serialize();
-        sink.SendResponse(answer, yield);
-      });
+  host->metrics =
+      listen(settings.metrics_listen, local,
+             [host](const auto&, auto& sink, auto yield) {
+               gateway::http_response answer;
+               answer.fields.Add("Content-Type", "text/plain; version=0.0.4");
+               answer.body = host->state.metrics.Serialize();
+               sink.SendResponse(answer, yield);
+             });
   if (failed) return tl::unexpected(*failed);
 
   SpawnLoop(host->state, "config",
