endpoint_connection: reserve a body of known length at once

A body whose length is stated takes just that, and one above the limit is cut off before it is read.

--- a/packages/gateway/endpoint_connection.cpp
+++ b/packages/gateway/endpoint_connection.cpp
@@ -34,6 +34,16 @@
   return {code, ec.message()};
 }
 
+// Makes room for `space` bytes of `body`, within what `held` may hold. The old
+// space is given back after the new one was filled.
+bool Reserve(std::string& body, std::size_t space, byte_share* held) {
+  const std::size_t before = body.empty() ? 0 : body.capacity();
+  if (held != nullptr && !held->Resize(before + space)) return false;
+  body.reserve(space);
+  if (held != nullptr) held->Resize(space);
+  return true;
+}
+
 }  // namespace
 
 const char* ToString(body_framing framing) {
@@ -213,7 +223,22 @@
     asio::yield_context yield, byte_share* held) {
   using steady = std::chrono::steady_clock;
   const auto deadline = steady::now() + timeout;
+  const auto no_memory = [this] {
+    CutOff(excess::kMemory);
+    return Fail(error_code::kTooLarge, "too many answers are held");
+  };
   std::string body;
+  const auto& parser = *state_->parser;
+  if (!parser.is_done() && parser.content_length()) {
+    const auto length = *parser.content_length();
+    if (length > limit) {
+      CutOff(excess::kBody);
+      return Fail(error_code::kTooLarge, "the answer is too large");
+    }
+    if (!Reserve(body, static_cast<std::size_t>(length), held)) {
+      return no_memory();
+    }
+  }
   while (true) {
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
         deadline - steady::now());
@@ -226,15 +251,9 @@
       CutOff(excess::kBody);
       return Fail(error_code::kTooLarge, "the answer is too large");
     }
-    // The old space is given back after the new one was filled.
-    if (bytes > body.capacity()) {
-      const std::size_t space = std::max(bytes, 2 * body.capacity());
-      if (held != nullptr && !held->Resize(body.capacity() + space)) {
-        CutOff(excess::kMemory);
-        return Fail(error_code::kTooLarge, "too many answers are held");
-      }
-      body.reserve(space);
-      if (held != nullptr) held->Resize(space);
+    if (bytes > body.capacity() &&
+        !Reserve(body, std::max(bytes, 2 * body.capacity()), held)) {
+      return no_memory();
     }
     body += *part;
   }
