bluebellraild: give large buffers back as soon as they are freed

glibc raises its threshold for separate mappings to the size of the largest buffer that was freed, so that answers and requests of some MB fragmented the heap: the peak of a host was up to 1.5 times what its budget held. The threshold is fixed now.

hosted_memory_test reads the peak resident memory of a host program with memory_mb = 120 under bytes without end from an engine (60 requests), callers with and without a key and other hosts (ten connections with 64 MB each), and the store.

--- a/packages/daemon/program/bluebellraild.cpp
+++ b/packages/daemon/program/bluebellraild.cpp
@@ -1,3 +1,4 @@
+#include <malloc.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
@@ -24,6 +25,8 @@
 
 enum exit_code { kDone = 0, kCannotStart = 1, kInvalidSettings = 2 };
 
+constexpr int kLargeBufferBytes = 128 * 1024;
+
 void StartLogging(const std::string& level) {
   auto logger = spdlog::stderr_logger_st("bluebellraild");
   // Events are JSON objects that contain their own time stamp.
@@ -50,6 +53,9 @@
 
 // Runs an entry host on the hosted platform.
 int RunHosted(const edge::edge_settings& settings) {
+  // Large buffers go back to the system as soon as they are freed; by default
+  // the bound rises to the size of the largest.
+  ::mallopt(M_MMAP_THRESHOLD, kLargeBufferBytes);
   boost::asio::io_context context;
   // Before the host listens, so that no signal ends a process that has callers.
   boost::asio::signal_set stops(context, SIGTERM, SIGINT);
