--- a/packages/daemon/program/bluebellraild.cpp
+++ b/packages/daemon/program/bluebellraild.cpp
@@ -1,3 +1,4 @@
+#include <malloc.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 #include <unistd.h>
@@ -18,6 +19,7 @@
 #include <vector>
 
 #include "base/asio_clock.h"
+#include "base/byte_budget.h"
 #include "daemon/host_process.h"
 #include "daemon/host_settings.h"
 #include "daemon/process_end.h"
@@ -32,6 +34,8 @@
 
 enum exit_code { kDone = 0, kCannotStart = 1, kInvalidSettings = 2 };
 
+constexpr int kLargeBufferBytes = 128 * 1024;
+
 void StartLogging(const std::string& level) {
   auto logger = spdlog::stderr_logger_st("bluebellraild");
   // Events are JSON objects that contain their own time stamp.
@@ -92,6 +96,9 @@
   explicit hosted_run(std::string file) : file_(std::move(file)) {}
 
   int Run() {
+    // Large buffers go back to the system as soon as they are freed; by default
+    // the bound rises to the size of the largest.
+    ::mallopt(M_MMAP_THRESHOLD, kLargeBufferBytes);
     AwaitStop();
     const auto invalid = Retry("settings_invalid", kSettingsPatience,
                                [this] { return LoadSettings(); });
@@ -181,7 +188,11 @@
           [this](const auto& kind, const auto& name, const auto& reason) {
             if (host_ == nullptr) return;
             host_->LogUnreadable(kind, name, reason);
-          });
+          },
+          std::make_shared<byte_budget>(settings_.store_bytes));
+      store_->OnCutOff([this](auto cause) {
+        if (host_ != nullptr) host_->ReportStoreCutOff(cause);
+      });
     }
     auto host =
         edge::edge_host::Create(context_, clock_, settings_, dialect_, *store_);
--- a/packages/edge/edge_host.cpp
+++ b/packages/edge/edge_host.cpp
@@ -14,6 +14,7 @@
 #include "edge/edge_state.h"
 #include "edge/engine_prober.h"
 #include "edge/pause.h"
+#include "edge/peer_cut_off.h"
 #include "edge/placement_runner.h"
 #include "edge/quarantine_sync.h"
 #include "edge/request_relay.h"
@@ -40,6 +41,8 @@
 constexpr milliseconds kQuietPeriod{200};
 // Limits these log lines to one per second and engine or part.
 constexpr milliseconds kChangeLogInterval{1000};
+// Requests to the listeners of the platform have no body.
+constexpr std::uint64_t kMaxLocalBodyBytes = 4096;
 // A loop that fails again and again must not take the processor.
 constexpr milliseconds kTaskRestartDelay{500};
 
@@ -108,6 +111,21 @@
   return std::to_string(source()) + "-" + std::to_string(source());
 }
 
+// Reports a connection of a caller or another host that was closed for the size
+// of a request.
+void LogRequestCutOff(edge_state& state, const char* kind,
+                      const gateway::connection_status& last) {
+  if (!last.cut_off) return;
+  auto cause = gateway::excess::kMemory;
+  if (*last.cut_off == problem_code::kHeadersTooLarge) {
+    cause = gateway::excess::kUnparsed;
+  }
+  if (*last.cut_off == problem_code::kBodyTooLarge) {
+    cause = gateway::excess::kBody;
+  }
+  ReportCutOff(state, kind, last.peer, cause);
+}
+
 // While the host stops, logs each caller's connection that ends; before that
 // only those that end within a request or with unread bytes.
 void LogConnectionEnd(edge_state& state,
@@ -297,7 +315,6 @@
   const auto listen = [&](const char* name, const std::string& address,
                           std::size_t share, gateway::http_limits limits,
                           http_server::handler handler) {
-    limits.memory = host->state.memory;
     limits.max_connections = DescriptorShare(share);
     auto server =
         http_server::Listen(context, address, limits, std::move(handler),
@@ -322,13 +339,18 @@
     limits.max_connections = DescriptorShare(kForwardShare);
     host->forwards->SetLimits(ToForwardLimits(limits));
   };
+  // The platform's own calls do not depend on what callers hold.
+  gateway::http_limits local;
+  local.max_body_bytes = kMaxLocalBodyBytes;
+  auto shared = ToHttpLimits({});
+  shared.memory = host->state.memory;
   host->callers =
-      listen("callers", settings.callers_listen, kCallerShare, ToHttpLimits({}),
+      listen("callers", settings.callers_listen, kCallerShare, shared,
              [host](const auto& request, auto& sink, auto yield) {
                RelayRequest(host->state, request, sink, yield);
              });
   host->forwards = listen("forwards", settings.forwards_listen, kForwardShare,
-                          ToForwardLimits({}),
+                          ToForwardLimits(shared),
                           [host](const auto& request, auto& sink, auto yield) {
                             RelayForwarded(host->state, request, sink, yield);
                           });
@@ -336,11 +358,19 @@
     host->callers->OnConnectionEnd(
         [host, &counts = host->counts.front()](const auto& last) {
           counts.OnEnd(last);
+          LogRequestCutOff(host->state, "caller", last);
           LogConnectionEnd(host->state, last);
         });
   }
+  if (host->forwards) {
+    host->forwards->OnConnectionEnd(
+        [host, &counts = host->counts.back()](const auto& last) {
+          counts.OnEnd(last);
+          LogRequestCutOff(host->state, "host", last);
+        });
+  }
   host->ready = listen(
-      "ready", settings.ready_listen, kReadyShare, {},
+      "ready", settings.ready_listen, kReadyShare, local,
       [host](const auto&, auto& sink, auto yield) {
         sink.SendResponse(
             host->state.dialect.LocalAnswer(host->state.Serving() ? 200 : 503,
@@ -348,7 +378,7 @@
             yield);
       });
   host->directory = listen(
-      "directory", settings.directory_listen, kDirectoryShare, {},
+      "directory", settings.directory_listen, kDirectoryShare, local,
       [host](const auto& request, auto& sink, auto yield) {
         const auto& dialect = host->state.dialect;
         const auto query = dialect.ReadAddressQuery(request);
@@ -367,7 +397,7 @@
             yield);
       });
   host->metrics =
-      listen("metrics", settings.metrics_listen, kMetricsShare, {},
+      listen("metrics", settings.metrics_listen, kMetricsShare, local,
              [host](const auto&, auto& sink, auto yield) {
                host->state.metrics.SetGauge(
                    "log_lines_dropped",
@@ -495,4 +525,9 @@
                          {{"kind", kind}, {"name", name}, {"detail", why}});
 }
 
+void edge_host::ReportStoreCutOff(gateway::excess cause) {
+  ReportCutOff(impl_->state, "store", impl_->state.settings.store_address,
+               cause);
+}
+
 }  // namespace bluebell::edge
--- a/packages/edge/edge_settings.cpp
+++ b/packages/edge/edge_settings.cpp
@@ -18,7 +18,10 @@
 constexpr std::int64_t kMaxMemory = 1'000'000;
 constexpr double kBytesPerMegabyte = 1024 * 1024;
 // Part of the memory for requests and answers.
-constexpr double kHeldShare = 0.25;
+constexpr double kHeldShare = 0.2;
+// Part of the memory for answers of the store; a value read from one takes
+// several times its bytes.
+constexpr double kStoreShare = 0.125;
 
 setting_rule Rule(std::string section, std::string key, setting_type type,
                   std::string default_value = {}) {
@@ -145,8 +148,10 @@
   loaded.zone = zone_id(read->Text("host", "zone"));
   loaded.capacity =
       static_cast<int>(read->Decimal("host", "cores") * kMillicoresPerCore);
-  loaded.held_bytes = static_cast<std::size_t>(
-      MemoryOfProcess(*read, loaded.ignored) * kHeldShare * kBytesPerMegabyte);
+  const double memory =
+      MemoryOfProcess(*read, loaded.ignored) * kBytesPerMegabyte;
+  loaded.held_bytes = static_cast<std::size_t>(memory * kHeldShare);
+  loaded.store_bytes = static_cast<std::size_t>(memory * kStoreShare);
   loaded.callers_listen = read->Text("listen", "callers");
   loaded.ready_listen = read->Text("listen", "ready");
   loaded.directory_listen = read->Text("listen", "directory");
--- a/packages/gateway/http_server.h
+++ b/packages/gateway/http_server.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -89,6 +90,10 @@
   bool unread = false;
   /// The request that is being served; null if there is none.
   const http_request* request = nullptr;
+  /// Why the connection was closed for the size of a request.
+  std::optional<problem_code> cut_off;
+  /// Address of the peer, `IPv4:port`; set with `cut_off`.
+  std::string peer;
 };
 
 /// Why a connection was not served at all.
--- a/packages/serving/host_digest.cpp
+++ b/packages/serving/host_digest.cpp
@@ -4,6 +4,7 @@
 
 #include "base/cbor.h"
 #include "base/utf8.h"
+#include "serving/cbor_message.h"
 #include "serving/limit_codec.h"
 
 namespace bluebell::serving {
@@ -245,8 +246,7 @@
   if (!digest.partial) EncodeState(digest, out);
   EncodeOutcomes(digest.outcomes, out);
   EncodeMessages(digest, out);
-  const auto bytes = json::to_cbor(out);
-  return {bytes.begin(), bytes.end()};
+  return ToBytes(out);
 }
 
 result<host_digest> DecodeDigest(std::string_view bytes) {
--- a/packages/serving/sync_messages.cpp
+++ b/packages/serving/sync_messages.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/cbor.h"
+#include "serving/cbor_message.h"
 
 namespace bluebell::serving {
 namespace {
@@ -54,11 +55,6 @@
   return record;
 }
 
-std::string ToBytes(const json& message) {
-  const auto bytes = json::to_cbor(message);
-  return {bytes.begin(), bytes.end()};
-}
-
 }  // namespace
 
 std::string EncodeSyncRequest(const sync_request& request) {
