stream_versions: tests for a host out of step while a version joins

Another operator reported that during a release a host which was cut off from the others, or stood still for seconds, took up streams of engines that had joined meanwhile and went on with them at another version.

And a replay in which hosts stand still, with a response of the store under way, or are cut off from the others or from the store, for up to 6 s, beside rollouts, restarts and lost writes.

Real processes under SIGSTOP were not run.

Not shown: an engine that starts again under its id at another version before its record shows it. By reading it is not told apart.

--- a/packages/serving/tests/stream_versions_test.cpp
+++ b/packages/serving/tests/stream_versions_test.cpp
@@ -84,8 +84,12 @@
 /// up, and are killed.
 class fleet_replay {
  public:
-  explicit fleet_replay(std::uint64_t seed, bool restores = false)
-      : restores_(restores), random_(seed), store_(random_) {
+  explicit fleet_replay(std::uint64_t seed, bool restores = false,
+                        bool loses_step = false)
+      : restores_(restores),
+        loses_step_(loses_step),
+        random_(seed),
+        store_(random_) {
     clock_.Advance(seconds(100));
     listed_.insert(Version(1));
     for (int i = 0; i < 4; ++i) hosts_.push_back(NewHost());
@@ -102,6 +106,7 @@
         for (auto& host : hosts_) host = NewHost();
       }
       if (restores_) RestoreStore();
+      if (loses_step_) LoseStep();
       for (auto& host : hosts_) Step(host);
       for (auto& host : hosts_) Begin(host);
       for (auto& host : hosts_) Report(host);
@@ -121,6 +126,13 @@
     std::unique_ptr<stream_versions> versions;
     milliseconds lag{0};
     std::vector<std::pair<std::uint64_t, stream_start>> waiting;
+    /// Until when it stands still, hears no other host, and reaches no store.
+    clock::time_point frozen_until;
+    clock::time_point alone_until;
+    clock::time_point without_store_until;
+    /// A response of the store that came while it stood still, and the ticket
+    /// of its request.
+    std::optional<std::pair<version_listing, std::uint64_t>> late_listing;
   };
 
   struct begun_stream {
@@ -165,24 +177,66 @@
     }
   }
 
+  // Freezes hosts and cuts them off for up to 6 seconds.
+  void LoseStep() {
+    for (auto& host : hosts_) {
+      const auto until = clock_.now() + milliseconds(500 + 100 * Draw(55));
+      switch (random_() % 600) {
+        case 0:
+          if (IsFrozen(host)) break;
+          host.frozen_until = until;
+          host.late_listing = {store_.List(), host.versions->wanted_listing()};
+          break;
+        case 1:
+          host.alone_until = until;
+          break;
+        case 2:
+          host.without_store_until = until;
+          host.lag = milliseconds(100 * Draw(60));
+          break;
+      }
+    }
+  }
+  bool IsFrozen(const host& self) const {
+    return self.frozen_until > clock_.now();
+  }
+  bool ReachesStore(const host& self) const {
+    return self.without_store_until <= clock_.now();
+  }
+  // Handles what arrived while the host stood still.
+  static void Wake(host& self) {
+    if (!self.late_listing) return;
+    self.versions->OnListing(self.late_listing->first,
+                             self.late_listing->second);
+    self.late_listing.reset();
+  }
+
   // Sends the starts of `self` to the others; some datagrams are lost.
   void Report(host& self) {
+    if (IsFrozen(self) || self.alone_until > clock_.now()) return;
     const auto starts = self.versions->TakeUnreported();
     for (auto& other : hosts_) {
       if (&other == &self || random_() % 20 == 0) continue;
+      if (IsFrozen(other) || other.alone_until > clock_.now()) continue;
       other.versions->OnReported(starts);
     }
   }
 
   // What any host knows of a stream that `self` does not find.
-  std::optional<found_version> Ask(const request_id& attempt) {
+  std::optional<found_version> Ask(const host& self,
+                                   const request_id& attempt) {
+    if (self.alone_until > clock_.now()) return std::nullopt;
     for (auto& host : hosts_) {
+      if (IsFrozen(host) || host.alone_until > clock_.now()) continue;
       if (const auto known = host.versions->Known(attempt)) return known;
     }
     return std::nullopt;
   }
 
   void Step(host& self) {
+    if (IsFrozen(self)) return;
+    Wake(self);
+    if (!ReachesStore(self)) return;
     const auto as_of = clock_.now() - self.lag;
     const auto seen =
         std::find_if(history_.rbegin(), history_.rend(),
@@ -218,6 +272,7 @@
   }
 
   void Begin(host& self) {
+    if (IsFrozen(self)) return;
     for (auto it = self.waiting.begin(); it != self.waiting.end();) {
       if (!self.versions->IsStored(it->first)) {
         ++it;
@@ -250,15 +305,21 @@
     for (int i = 0; i < 5; ++i) {
       const auto& stream = begun_[begun_.size() - 1 - Draw(begun_.size())];
       if (clock_.now() - stream.at > kLongestTry) continue;
-      auto& versions = *hosts_[Draw(hosts_.size())].versions;
+      auto& self = hosts_[Draw(hosts_.size())];
+      auto& versions = *self.versions;
       ++taken_up;
+      // A host that stood still takes the stream up before it does all else.
+      self.frozen_until = clock_.now();
       auto found = versions.Known(stream.start.attempt);
-      if (!found && store_.Answers()) {
+      if (!found && ReachesStore(self) && store_.Answers()) {
         const auto ticket = versions.RequestListing();
-        versions.OnListing(store_.List(), ticket);
+        Wake(self);
+        if (!versions.HasListing(ticket)) {
+          versions.OnListing(store_.List(), ticket);
+        }
         found = versions.VersionOf(kService, stream.start.attempt);
       }
-      if (!found) found = Ask(stream.start.attempt);
+      if (!found) found = Ask(self, stream.start.attempt);
       if (found) ++known;
       if (found && found->software != stream.start.software) ++joined;
     }
@@ -266,6 +327,7 @@
 
   manual_clock clock_;
   bool restores_;
+  bool loses_step_;
   int steps_ = 0;
   int copied_at_ = 0;
   std::mt19937_64 random_;
@@ -314,6 +376,25 @@
   EXPECT_GT(known, taken_up / 2);
 }
 
+// Guards against a stream that goes on at another version at a host that stood
+// still, or was cut off from other hosts or the store, while engines of new
+// versions joined.
+TEST(stream_versions_replay, StreamsGoOnAtTheirVersionAtAHostOutOfStep) {
+  int taken_up = 0;
+  int known = 0;
+  int begun_elsewhere = 0;
+  for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+    fleet_replay replay(seed, false, true);
+    replay.Run(seconds(150));
+    EXPECT_EQ(replay.joined, 0) << "seed " << seed;
+    taken_up += replay.taken_up;
+    known += replay.known;
+    begun_elsewhere += replay.begun_elsewhere;
+  }
+  EXPECT_GT(begun_elsewhere, 200);
+  EXPECT_GT(known, taken_up / 2);
+}
+
 class stream_versions_fixture : public testing::Test {
  protected:
   void List(const std::set<software_version>& versions) {
