store_sync: a host that starts asks others for the newest configuration

Cause: a process that has just started remembers no version, so it takes what the store holds for the newest and confirms its age. The other hosts knew the newer version and ignored the same read, but nothing told it.

Now digests carry the newest version that a host knows of. A host applies its first configuration once another host has reported a version, all listed hosts were heard, or a second after its first read. The same cause on related paths: a host that hears of a newer version and then reads an older one voids what earlier reads confirmed, and a follower counts the age of the newest version only. Old builds pass over the field.

--- a/packages/edge/digest_exchange.cpp
+++ b/packages/edge/digest_exchange.cpp
@@ -213,6 +213,7 @@
     OnBrittleNotice(host_, digest->host.value(), notice, late);
   }
   if (digest->store) host_.store_contact.OnPeer(*digest->store, late);
+  sync_.OnPeerConfig(digest->config_version);
   if (digest->leaving) host_.fleet.OnPeerGone(digest->host);
   demand_[digest->host] = digest->demand;
   if (digest->hello)
@@ -299,6 +300,7 @@
     bool written = false;
     if (hosts) {
       host_.directory.OnListing(*hosts);
+      if (host_.config == nullptr) SendDigests(true);
       written = std::find(hosts->begin(), hosts->end(), own) != hosts->end();
     } else {
       host_.log.Write("hosts_not_read", {{"detail", hosts.error().detail}});
@@ -450,6 +452,7 @@
   digest.brittle = host_.brittle.Notices();
   digest.shares_room = true;
   digest.store = host_.store_contact.Report();
+  digest.config_version = sync_.NewestConfig();
   return digest;
 }
 
--- a/packages/edge/store_sync.cpp
+++ b/packages/edge/store_sync.cpp
@@ -25,6 +25,10 @@
 constexpr milliseconds kReaderTimeout{1100};
 // Interval at which a follower checks the age of its data.
 constexpr milliseconds kFollowStep{150};
+// Digests of hosts that were asked arrive within milliseconds; this covers one
+// that is lost. A host that is down is not waited for longer.
+constexpr milliseconds kMaxPeerWait{1000};
+constexpr milliseconds kPeerStep{20};
 // Records in one response, a few kilobytes.
 constexpr std::size_t kRecordsPerResponse = 16;
 // Source of records that this host read itself.
@@ -44,7 +48,7 @@
   while (true) {
     const auto age = host_.freshness.Age();
     const bool has_newest =
-        host_.config != nullptr && host_.config->version >= newest_version_;
+        host_.config != nullptr && host_.config->version >= NewestConfig();
     if (!IsStoreReader() && has_newest && age && *age < kMaxFollowedAge) {
       Pause(host_.io, kFollowStep, yield);
       continue;
@@ -57,23 +61,47 @@
 
 void store_sync::ReadConfig(boost::asio::yield_context yield) {
   const auto sent = host_.time.now();
+  const auto known_when_sent = NewestConfig();
   auto read = host_.store.ReadConfig(yield);
   OnStoreRead("config", sent, read.has_value(),
               read ? std::string() : read.error().detail);
   if (!read) return;
-  const auto newest = std::max(
-      newest_version_, host_.config == nullptr ? 0 : host_.config->version);
+  if (host_.config == nullptr) AwaitPeers(yield);
+  const auto newest = NewestConfig();
   if ((*read)->version < newest) {
     // The store has lost versions; one of them may have withdrawn a key.
     host_.log.Write("config_ignored",
                     {{"version", std::to_string((*read)->version)},
                      {"newest", std::to_string(newest)}});
+    // It may have lost them before earlier reads as well.
+    if (host_.config != nullptr && host_.config->version < known_when_sent) {
+      host_.freshness.Reset();
+    }
     return;
   }
   host_.freshness.Confirm(sent);
   if (*read != host_.config) ApplyConfig(std::move(*read));
 }
 
+// A process that has just started cannot tell whether the store was restored
+// from a copy that lacks the newest configuration; other hosts can.
+void store_sync::AwaitPeers(boost::asio::yield_context yield) {
+  const auto until = host_.time.now() + kMaxPeerWait;
+  while (newest_version_ == 0 && !host_.directory.HeardAllListed() &&
+         host_.time.now() < until) {
+    Pause(host_.io, kPeerStep, yield);
+  }
+}
+
+void store_sync::OnPeerConfig(std::uint64_t version) {
+  newest_version_ = std::max(newest_version_, version);
+}
+
+std::uint64_t store_sync::NewestConfig() const {
+  return std::max(newest_version_,
+                  host_.config == nullptr ? 0 : host_.config->version);
+}
+
 void store_sync::RunEngines(boost::asio::yield_context yield) {
   while (true) {
     const auto now = host_.time.now();
@@ -174,9 +202,10 @@
   }
   response_at_ = host_.time.now();
   if (response->store_era) OnEra(*response->store_era);
-  newest_version_ = std::max(newest_version_, response->config_version);
+  OnPeerConfig(response->config_version);
   if (response->config_age && host_.config != nullptr &&
-      host_.config->version == response->config_version) {
+      host_.config->version == response->config_version &&
+      response->config_version == NewestConfig()) {
     host_.freshness.Confirm(request_sent_at_ - *response->config_age);
   }
   // A host that does not report versions cannot be followed.
--- a/packages/edge/store_sync.h
+++ b/packages/edge/store_sync.h
@@ -42,11 +42,18 @@
   /// no recent data from the store.
   std::optional<std::string> RespondToSync(std::string_view bytes);
   void OnSyncResponse(std::string_view bytes);
+  /// Another host knows of this version of the configuration.
+  void OnPeerConfig(std::uint64_t version);
+  /// Newest version of the configuration that this host knows of; 0 before the
+  /// first.
+  std::uint64_t NewestConfig() const;
 
  private:
   bool IsStoreReader() const;
   void SendSyncRequest();
   void ReadConfig(boost::asio::yield_context yield);
+  // Waits until other hosts had the time to report the newest version.
+  void AwaitPeers(boost::asio::yield_context yield);
   void OnStoreRead(const char* what, clock::time_point sent, bool answered,
                    const std::string& why);
   // `era` was reported by the store or by another host.
@@ -87,6 +94,7 @@
   std::uint64_t request_number_ = 0;
   clock::time_point request_sent_at_;
   clock::time_point records_at_;
+  /// As reported by other hosts.
   std::uint64_t newest_version_ = 0;
   record_source applied_;
   /// The last records were of an earlier version.
--- a/packages/serving/host_digest.cpp
+++ b/packages/serving/host_digest.cpp
@@ -63,6 +63,7 @@
     out["store"] = json::array({ToMilliseconds(digest.store->read_age),
                                 ToMilliseconds(digest.store->up_for)});
   }
+  if (digest.config_version > 0) out["config"] = digest.config_version;
   if (!digest.demand.empty()) {
     json& demand = out["demand"] = json::array();
     for (const auto& entry : digest.demand) {
@@ -227,6 +228,7 @@
         std::chrono::milliseconds(in["store"].at(0).get<std::int64_t>()),
         std::chrono::milliseconds(in["store"].at(1).get<std::int64_t>())};
   }
+  digest.config_version = in.value("config", std::uint64_t{0});
   if (in.contains("demand")) {
     for (const auto& row : in["demand"]) {
       digest.demand.push_back({model_id(row.at(0).get<std::string>()),
--- a/packages/serving/host_digest.h
+++ b/packages/serving/host_digest.h
@@ -86,6 +86,9 @@
   bool shares_room = false;
   /// None if the host does not read the store.
   std::optional<store_contact_report> store;
+  /// Newest version of the configuration that the host knows of; 0 if it knows
+  /// none.
+  std::uint64_t config_version = 0;
   /// Prompt parts that may crash engines.
   std::vector<part_evidence> parts;
 };
--- a/packages/serving/host_directory.cpp
+++ b/packages/serving/host_directory.cpp
@@ -9,6 +9,7 @@
 
 void host_directory::OnListing(const std::vector<host_entry>& hosts) {
   listed_.clear();
+  list_read_ = true;
   std::map<zone_id, std::vector<ranked_host>> zones;
   zones[zone_].push_back({self_, capacity_});
   for (const auto& entry : hosts) {
@@ -22,6 +23,13 @@
   }
 }
 
+bool host_directory::HeardAllListed() const {
+  return list_read_ &&
+         std::all_of(listed_.begin(), listed_.end(), [this](const auto& entry) {
+           return peers_.count(entry.first) > 0;
+         });
+}
+
 bool host_directory::OnDigest(const host_digest& digest,
                               const std::string& digest_address) {
   if (digest.host == self_) return false;
--- a/packages/serving/host_directory.h
+++ b/packages/serving/host_directory.h
@@ -49,6 +49,8 @@
 
   /// Replaces the hosts that the store lists.
   void OnListing(const std::vector<host_entry>& hosts);
+  /// Whether the store's list was read and each host in it was heard.
+  bool HeardAllListed() const;
   /// Applies a digest. Returns false if it is older than the newest one.
   bool OnDigest(const host_digest& digest, const std::string& digest_address);
   /// Recomputes whether this host is active and engaged. `in_use`: it receives
@@ -160,6 +162,7 @@
   bool engaged_ = false;
   /// Hosts in the store's list other than this one.
   std::map<host_id, host_entry> listed_;
+  bool list_read_ = false;
   /// Number of hosts that would be active if all listed ones were live.
   int listed_active_ = 0;
   std::map<host_id, peer> peers_;
--- a/packages/serving/key_freshness.h
+++ b/packages/serving/key_freshness.h
@@ -22,6 +22,9 @@
   void Confirm(clock::time_point sent) {
     if (!confirmed_ || sent > *confirmed_) confirmed_ = sent;
   }
+  /// The read that was confirmed may have been answered by a store that had
+  /// lost a newer configuration.
+  void Reset() { confirmed_.reset(); }
   /// Time since the configuration was last known to be current; none if never.
   std::optional<clock::duration> Age() const {
     if (!confirmed_) return std::nullopt;
