placement_runner: send each order on a connection of its own

Cause: a faulty engine writes an earlier answer once more where the next is due on a kept connection. Answers to requests are matched by the id of the attempt; those to orders name nothing, and SendOrder used connections that had carried requests or reports. It took a 200 for an order that the engine refused with 409. That the connection is idle and open when it is taken does not rule this out: the bytes come after the order was sent. Ruled out: a miscounted order, since the engine's record and the host's order_sent name different statuses.

Now an order is the only exchange on its connection, so no earlier answer can precede its own. Reports stay on kept connections: an earlier one has a lower count of orders and is passed over, or the next order, which states the count, is refused.

Evidence: on kept connections placement_orders.EarlierAnswerIsNotTakenForThatToAnOrder fails: the request reaches the engine although its adapter was refused.

--- a/packages/edge/engine_connections.cpp
+++ b/packages/edge/engine_connections.cpp
@@ -22,6 +22,12 @@
     // The remaining connections have been idle for even longer.
     if (now - candidate.since > max_idle) break;
   }
+  return Open(address, timeout, yield);
+}
+
+result<engine_connections::lease> engine_connections::Open(
+    const std::string& address, std::chrono::milliseconds timeout,
+    boost::asio::yield_context yield) {
   auto opened =
       gateway::endpoint_connection::Connect(context_, address, timeout, yield);
   if (!opened) return tl::unexpected(opened.error());
--- a/packages/edge/engine_connections.h
+++ b/packages/edge/engine_connections.h
@@ -36,6 +36,12 @@
                      clock::duration max_idle,
                      std::chrono::milliseconds timeout,
                      boost::asio::yield_context yield);
+  /// Opens a connection that has carried no request, for exchanges whose answer
+  /// does not name its request: an endpoint may write an earlier answer again
+  /// where the next is due. Errors as for `Take`.
+  result<lease> Open(const std::string& address,
+                     std::chrono::milliseconds timeout,
+                     boost::asio::yield_context yield);
   /// Returns a connection to the pool if it is reusable. The endpoint closes it
   /// after `lifetime` without a request.
   void Return(const endpoint_id& engine, lease used, clock::duration lifetime);
--- a/packages/edge/placement_runner.cpp
+++ b/packages/edge/placement_runner.cpp
@@ -350,8 +350,7 @@
   std::string detail;
   const auto permit = TakePermit(host_, order.engine, yield);
   auto lease = permit.granted
-                   ? host_.connections.Take(order.engine, address,
-                                            kOrderTimeout, kOrderTimeout, yield)
+                   ? host_.connections.Open(address, kOrderTimeout, yield)
                    : Fail(error_code::kUnavailable, "the engine's limit");
   // Checked after connecting, since the lease may have ended meanwhile.
   if (!lease) {
@@ -371,12 +370,6 @@
         result = head->status == 202   ? order_result::kAccepted
                  : head->status == 200 ? order_result::kDone
                                        : order_result::kRefused;
-        const auto body =
-            lease->connection->ReadBody(65536, kOrderTimeout, yield);
-        if (body) {
-          host_.connections.Return(order.engine, std::move(*lease),
-                                   kOrderTimeout);
-        }
       }
     }
   }
