request_quarantine: a request that crashes engines is not forgotten

Cause: its record was dropped 60 s after its last crash, so that it started again with three crashes to spare, at two hosts at once. Ruled out: hosts that do not hear of each other, since all refuse it at the same time and let it through at the same time. By reading, a count that starts again was also taken for a repeated notice by other hosts.

Now a request of fewer than three crashes is forgotten after 60 s as before; a refused one is tested by one request, at the first host of the ranking, after 60 s, and each crash makes the time four times as long, up to an hour. A trial reaches one engine. An answered trial refutes the crashes at all hosts (new field of digests, which old builds pass over). Counts belong to one process of a host. routing::quarantine stays as it is for the product's own gateway; edge no longer depends on routing.

Trials are covered by unit tests only, and counts are still lost if all hosts restart.

--- a/packages/edge/digest_exchange.cpp
+++ b/packages/edge/digest_exchange.cpp
@@ -202,7 +202,11 @@
     host_.quota.OnStopped(digest->host);
   }
   for (const auto& [fingerprint, crashes] : digest->crashes) {
-    host_.crashes.OnNotice(digest->host, fingerprint, crashes);
+    host_.crashes.OnNotice(digest->host, digest->incarnation, fingerprint,
+                           crashes);
+  }
+  for (const auto& [fingerprint, crashes] : digest->refuted_crashes) {
+    host_.crashes.OnRefuted(fingerprint, crashes);
   }
   const auto late = host_.directory.Lateness(*digest);
   host_.parts.OnEvidence(digest->parts, late);
@@ -444,6 +448,7 @@
       std::chrono::duration_cast<milliseconds>(host_.quota.Age()).count();
   if (notices) digest.notices = notices();
   digest.crashes = host_.crashes.OwnCrashes();
+  digest.refuted_crashes = host_.crashes.Refuted();
   digest.parts = host_.parts.Evidence();
   for (auto& notice : host_.limits.Notices()) {
     if (host_.fleet.Find(notice.engine) == nullptr) continue;
--- a/packages/edge/edge_state.h
+++ b/packages/edge/edge_state.h
@@ -18,7 +18,6 @@
 #include "edge/engine_connections.h"
 #include "edge/engine_records.h"
 #include "edge/request_dialect.h"
-#include "routing/quarantine.h"
 #include "serving/brittle_services.h"
 #include "serving/demand_average.h"
 #include "serving/engine_fleet.h"
@@ -28,6 +27,7 @@
 #include "serving/key_freshness.h"
 #include "serving/part_quarantine.h"
 #include "serving/placement_lease.h"
+#include "serving/request_quarantine.h"
 #include "serving/service_retry_budget.h"
 #include "serving/serving_config.h"
 #include "serving/shared_quota.h"
@@ -76,12 +76,9 @@
         placement_lease(source, settings.id, incarnation,
                         settings.placement_pause),
         stop(source),
-        crashes(source, kCrashRetention, [](const std::string&, int) {}),
+        crashes(source),
         parts(source, seed) {}
 
-  /// A request that crashes engines is rejected for this long.
-  static constexpr std::chrono::seconds kCrashRetention{60};
-
   /// Demand shifts between models within seconds.
   static constexpr std::chrono::milliseconds kDemandWindow{1500};
 
@@ -153,7 +150,7 @@
   serving::demand_average demand;
   serving::placement_lease placement_lease;
   serving::stop_admission stop;
-  routing::quarantine crashes;
+  serving::request_quarantine crashes;
   serving::part_quarantine parts;
   /// Called when a new configuration takes effect.
   std::function<void()> on_config;
--- a/packages/edge/relayed_request.h
+++ b/packages/edge/relayed_request.h
@@ -195,9 +195,6 @@
   // Interval at which an adapter is requested again from the placement lease
   // holder.
   static constexpr milliseconds kAdapterRequestInterval{100};
-  // Crashes over all hosts from which on a request is refused. A request that
-  // was merely in flight beside the cause is unlikely to be there three times.
-  static constexpr int kCrashLimit = 3;
 
   edge_state& host_;
   const http_request& received_;
@@ -216,8 +213,9 @@
   const serving::account* account_ = nullptr;
   bool is_model_ = false;
   std::string fingerprint_;
-  /// It was admitted to test a quarantined part of its prompt.
-  bool tests_part_ = false;
+  /// It was admitted to test whether it, or a part of its prompt, still crashes
+  /// engines.
+  bool is_trial_ = false;
   serving::engine_requirements requirements_;
   clock::time_point deadline_;
   bool caller_gone_ = false;
--- a/packages/edge/request_forward.cpp
+++ b/packages/edge/request_forward.cpp
@@ -117,7 +117,7 @@
     return false;
   }
   fingerprint_ = Fingerprint();
-  if (host_.crashes.Crashes(fingerprint_) >= kCrashLimit ||
+  if (host_.crashes.IsQuarantined(fingerprint_) ||
       host_.parts.IsQuarantined(caller_.shared_parts)) {
     return Refuse(503, "crashes_engines", std::nullopt);
   }
--- a/packages/edge/request_relay.cpp
+++ b/packages/edge/request_relay.cpp
@@ -95,7 +95,7 @@
   if (verdict == serving::part_verdict::kRefused) {
     return Refuse(503, "crashes_engines", std::nullopt);
   }
-  tests_part_ = verdict == serving::part_verdict::kTrial;
+  is_trial_ = verdict == serving::part_verdict::kTrial;
   requirements_.service = ChooseService();
   SetRequirements();
   if (route_->resumable && !caller_.last_event.empty() &&
@@ -114,9 +114,13 @@
   if (is_model_) host_.demand.Count(requirements_.model, requirements_.adapter);
   host_.retries.OnRequest(requirements_.service);
   fingerprint_ = Fingerprint();
-  if (host_.crashes.Crashes(fingerprint_) >= kCrashLimit) {
+  const auto crashes =
+      host_.crashes.Admit(fingerprint_, host_.directory.Rank());
+  if (crashes == serving::request_quarantine::verdict::kRefused) {
     return Refuse(503, "crashes_engines", std::nullopt);
   }
+  is_trial_ =
+      is_trial_ || crashes == serving::request_quarantine::verdict::kTrial;
   return true;
 }
 
@@ -286,8 +290,9 @@
       EndWithoutEngine(choice);
       return;
     }
-    const bool is_trial = tests_part_ && sends_ == 0;
-    if (!is_trial && host_.parts.IsQuarantined(caller_.shared_parts)) {
+    const bool is_trial = is_trial_ && sends_ == 0;
+    if (!is_trial && (host_.parts.IsQuarantined(caller_.shared_parts) ||
+                      host_.crashes.IsQuarantined(fingerprint_))) {
       return Fail(502, "crashes_engines");
     }
     const send_result result = SendTo(choice.engine);
--- a/packages/edge/request_send.cpp
+++ b/packages/edge/request_send.cpp
@@ -135,7 +135,7 @@
                                                  kCrashProbeTimeout, yield);
     if (listener != gateway::listener_state::kRefusing) return;
     if (!ReachesAnother(host, lost.engine, yield)) return;
-    host.crashes.RecordCrash(lost.fingerprint);
+    host.crashes.OnCrash(lost.fingerprint);
     host.parts.OnCrash(lost.parts, lost.engine, lost.sent_at, lost.lost_at);
     host.log.Write("engine_crashed", {{"engine", lost.engine.value()},
                                       {"address", lost.address},
@@ -341,6 +341,7 @@
 void relayed_request::OnEngineSurvived() {
   engine_survived_ = true;
   host_.parts.OnAnswered(caller_.shared_parts, sent_at_);
+  host_.crashes.OnAnswered(fingerprint_, sent_at_);
 }
 
 send_result relayed_request::OnConnectionLost() {
--- a/packages/serving/host_digest.cpp
+++ b/packages/serving/host_digest.cpp
@@ -177,6 +177,9 @@
     }
   }
   if (!digest.crashes.empty()) out["crashes"] = digest.crashes;
+  if (!digest.refuted_crashes.empty()) {
+    out["refuted"] = digest.refuted_crashes;
+  }
   if (!digest.limits.empty()) {
     json& limits = out["limits"] = json::array();
     for (const auto& entry : digest.limits) {
@@ -277,6 +280,9 @@
     if (in.contains("crashes")) {
       digest.crashes = in["crashes"].get<std::map<std::string, int>>();
     }
+    if (in.contains("refuted")) {
+      digest.refuted_crashes = in["refuted"].get<std::map<std::string, int>>();
+    }
     if (in.contains("limits")) {
       for (const auto& row : in["limits"]) {
         digest.limits.push_back(DecodeLimit(row));
--- a/packages/serving/host_digest.h
+++ b/packages/serving/host_digest.h
@@ -78,6 +78,8 @@
   std::vector<residency_notice> notices;
   /// Crashes of endpoints seen by this host, by fingerprint of the request.
   std::map<std::string, int> crashes;
+  /// Of all hosts' crashes, those that an answer has refuted.
+  std::map<std::string, int> refuted_crashes;
   /// Rate limits of engines that are known to this host.
   std::vector<limit_notice> limits;
   /// Brittle services that are known to this host.
