--- a/packages/edge/digest_exchange.cpp
+++ b/packages/edge/digest_exchange.cpp
@@ -202,7 +202,11 @@
     host_.quota.OnStopped(digest->host);
   }
   for (const auto& [fingerprint, crashes] : digest->crashes) {
-    host_.crashes.OnNotice(digest->host, fingerprint, crashes);
+    host_.crashes.OnNotice(digest->host, digest->incarnation, fingerprint,
+                           crashes);
+  }
+  for (const auto& [fingerprint, crashes] : digest->refuted_crashes) {
+    host_.crashes.OnRefuted(fingerprint, crashes);
   }
   const auto late = host_.directory.Lateness(*digest);
   host_.parts.OnEvidence(digest->parts, late);
@@ -213,6 +217,7 @@
     OnBrittleNotice(host_, digest->host.value(), notice, late);
   }
   if (digest->store) host_.store_contact.OnPeer(*digest->store, late);
+  sync_.OnPeerConfig(digest->config_version);
   if (digest->leaving) host_.fleet.OnPeerGone(digest->host);
   demand_[digest->host] = digest->demand;
   if (digest->hello)
@@ -299,6 +304,7 @@
     bool written = false;
     if (hosts) {
       host_.directory.OnListing(*hosts);
+      if (host_.config == nullptr) SendDigests(true);
       written = std::find(hosts->begin(), hosts->end(), own) != hosts->end();
     } else {
       host_.log.Write("hosts_not_read", {{"detail", hosts.error().detail}});
@@ -442,6 +448,7 @@
       std::chrono::duration_cast<milliseconds>(host_.quota.Age()).count();
   if (notices) digest.notices = notices();
   digest.crashes = host_.crashes.OwnCrashes();
+  digest.refuted_crashes = host_.crashes.Refuted();
   digest.parts = host_.parts.Evidence();
   for (auto& notice : host_.limits.Notices()) {
     if (host_.fleet.Find(notice.engine) == nullptr) continue;
@@ -450,6 +457,7 @@
   digest.brittle = host_.brittle.Notices();
   digest.shares_room = true;
   digest.store = host_.store_contact.Report();
+  digest.config_version = sync_.NewestConfig();
   return digest;
 }
 
--- a/packages/serving/host_digest.cpp
+++ b/packages/serving/host_digest.cpp
@@ -65,6 +65,7 @@
     out["store"] = json::array({ToMilliseconds(digest.store->read_age),
                                 ToMilliseconds(digest.store->up_for)});
   }
+  if (digest.config_version > 0) out["config"] = digest.config_version;
   if (!digest.demand.empty()) {
     json& demand = out["demand"] = json::array();
     for (const auto& entry : digest.demand) {
@@ -178,6 +179,9 @@
     }
   }
   if (!digest.crashes.empty()) out["crashes"] = digest.crashes;
+  if (!digest.refuted_crashes.empty()) {
+    out["refuted"] = digest.refuted_crashes;
+  }
   if (!digest.limits.empty()) {
     json& limits = out["limits"] = json::array();
     for (const auto& entry : digest.limits) {
@@ -229,6 +233,7 @@
         std::chrono::milliseconds(in["store"].at(0).get<std::int64_t>()),
         std::chrono::milliseconds(in["store"].at(1).get<std::int64_t>())};
   }
+  digest.config_version = in.value("config", std::uint64_t{0});
   if (in.contains("demand")) {
     for (const auto& row : in["demand"]) {
       digest.demand.push_back({model_id(row.at(0).get<std::string>()),
@@ -276,6 +281,9 @@
     if (in.contains("crashes")) {
       digest.crashes = in["crashes"].get<std::map<std::string, int>>();
     }
+    if (in.contains("refuted")) {
+      digest.refuted_crashes = in["refuted"].get<std::map<std::string, int>>();
+    }
     if (in.contains("limits")) {
       for (const auto& row : in["limits"]) {
         digest.limits.push_back(DecodeLimit(row));
--- a/packages/serving/host_digest.h
+++ b/packages/serving/host_digest.h
@@ -78,6 +78,8 @@
   std::vector<residency_notice> notices;
   /// Crashes of endpoints seen by this host, by fingerprint of the request.
   std::map<std::string, int> crashes;
+  /// Of all hosts' crashes, those that an answer has refuted.
+  std::map<std::string, int> refuted_crashes;
   /// Rate limits of engines that are known to this host.
   std::vector<limit_notice> limits;
   /// Brittle services that are known to this host.
@@ -86,6 +88,9 @@
   bool shares_room = false;
   /// None if the host does not read the store.
   std::optional<store_contact_report> store;
+  /// Newest version of the configuration that the host knows of; 0 if it knows
+  /// none.
+  std::uint64_t config_version = 0;
   /// Prompt parts that may crash engines.
   std::vector<part_evidence> parts;
 };
