edge_host: refused requests do not delay the end of a stop

The wait for quiet now ends 1 s after the last request that is accepted; open requests are waited for as before.

--- a/packages/edge/edge_host.cpp
+++ b/packages/edge/edge_host.cpp
@@ -35,8 +35,10 @@
 // Maximum time before the exit in which the answers to requests that are still
 // open are sent.
 constexpr milliseconds kLastAnswersPeriod{400};
-// The process ends only after this long without a new request.
+// The process ends after this long without a new request, or this long after
+// the last one that is accepted: callers may go on to be refused.
 constexpr milliseconds kQuietPeriod{200};
+constexpr milliseconds kMaxQuietWait{1000};
 // Limits these log lines to one per second and engine or part.
 constexpr milliseconds kChangeLogInterval{1000};
 // A loop that fails again and again must not take the processor.
@@ -372,8 +374,10 @@
         received = state.requests_received;
         active_at = now;
       }
+      const bool quiet = now - active_at >= kQuietPeriod ||
+                         now >= accepts_until + kMaxQuietWait;
       if (now >= accepts_until && host->signed_off &&
-          now - active_at >= kQuietPeriod) {
+          host->OpenRequests() == 0 && quiet) {
         break;
       }
       Pause(state.io, kStopPollInterval, yield);
