--- a/soak/soak.py
+++ b/soak/soak.py
@@ -697,6 +697,7 @@
         self.process, self.log_size = process, log_size
         self.begun, self.signalled = now(), 0.0
         self.terms = []
+        self.ended = float("inf")
         self.ready = False
         self.answered = now()
         self.log, self.log_pipe = log, log_pipe
@@ -950,6 +951,7 @@
             if not self.running():
                 launch = self.launch
                 code = launch.process.returncode
+                launch.ended = now()
                 self.soak.note(f"host-{self.number} ended with {code}")
                 if launch.log_pipe is not None:
                     launch.copy_log()
@@ -1714,7 +1716,9 @@
         arrivals = self.arrivals.get(request.attempt, [])
         if request.end >= request.sent + request.limit - DEADLINE_MARGIN_S:
             return "deadline"
-        if not arrivals and request.end - request.sent <= CROSSING_S:
+        # A slow reader notices the end of its connection late.
+        closed = min(request.end, request.launch.ended)
+        if not arrivals and closed - request.sent <= CROSSING_S:
             return "crossed"
         if not arrivals and request.early:
             return "unread"
