--- a/soak/soak.py
+++ b/soak/soak.py
@@ -835,10 +835,10 @@
         if pipe[1] is not None:
             os.close(pipe[1])
         LAUNCHED.append(process)
-        for kind, size in ((resource.RLIMIT_NOFILE, options.descriptors),
-                           (resource.RLIMIT_DATA, options.data_mb << 20)):
-            if size:
-                resource.prlimit(process.pid, kind, (size, size))
+        for kind, bound in ((resource.RLIMIT_NOFILE, options.descriptors),
+                            (resource.RLIMIT_DATA, options.data_mb << 20)):
+            if bound:
+                resource.prlimit(process.pid, kind, (bound, bound))
         self.launch = Launch(process, size, self.log, pipe[0])
         self.soak.note(f"host-{self.number} begins, process {process.pid}")
 
