http_server: requests and stops within their limits after a review

A reviewer read the changes to connections and found, by reading or with small programs of his own: - a deadline that ends while a read has completed cancels nothing, so that a request, or a lingering close, goes on without a limit; deadlines now cancel again until they are disarmed, and loops look at them after each read; - a synchronous accept waits for the next caller if one has left before it was accepted (shown with a wrapped accept); the acceptor reports this now; - a request whose head is on its way gave its memory to others at once; heads give way after a second, and a connection that was ended serves no request; - a lingering close held the body of its request; - the last wait of a stop did not cover answers under way, and a stop whose task fails never ended; a timer ends it; - a host that takes over requests of others had 1/16 of its descriptors for them, now 1/8; - stacks of 64 KB leave little room for signal frames, now 128 KB. The acceptor waits by callbacks: the sanitizer cannot follow the forced end of a coroutine that waits in accept (15 sanitized gateway tests failed).

Evidence: NewHeadsDoNotGiveWay failed before (status 0 instead of 200). DeadlineBetweenTwoReadsEndsTheRequest passed before, too: the state was not reproduced with this server. SlowHeadsGiveTheirMemoryToRequests now waits until the heads are slow; its checks are the same. 38 gateway tests pass, plain.

--- a/packages/edge/edge_host.cpp
+++ b/packages/edge/edge_host.cpp
@@ -37,6 +37,9 @@
 // Maximum time before the exit in which the answers to requests that are still
 // open are sent.
 constexpr milliseconds kLastAnswersPeriod{400};
+// The tasks of a stop that take longer than they should by this time are
+// abandoned.
+constexpr milliseconds kStopTimerMargin{100};
 // The process ends after this long without a new request, or this long after
 // the last one that is accepted: callers may go on to be refused.
 constexpr milliseconds kQuietPeriod{200};
@@ -51,7 +54,7 @@
 // Shares of the descriptors of the process that the listeners may use. The rest
 // is for engines, the store, other hosts and files.
 constexpr std::size_t kCallerShare = 2;
-constexpr std::size_t kForwardShare = 16;
+constexpr std::size_t kForwardShare = 8;
 constexpr std::size_t kDirectoryShare = 16;
 constexpr std::size_t kReadyShare = 32;
 constexpr std::size_t kMetricsShare = 32;
@@ -281,6 +284,7 @@
   std::list<connection_counts> counts;
   std::function<void()> on_stopped;
   bool stopping = false;
+  timer_handle stop_timer;
   /// The placement lease and the entry in the store's list are given up.
   bool signed_off = false;
 };
@@ -458,10 +462,15 @@
 void edge_host::Stop() {
   auto* host = impl_.get();
   if (host->stopping) return;
-  host->stopping = true;
   auto& state = host->state;
   const auto begun = state.time.now();
   const auto last = begun + state.settings.stop_grace - kStopMargin;
+  // Ends the process even if a task below fails.
+  host->stop_timer = state.time.CallAfter(
+      last - begun + kLastAnswersPeriod + kStopTimerMargin, [host] {
+        if (host->on_stopped) host->on_stopped();
+      });
+  host->stopping = true;
   state.leaving = true;
   state.stop.Begin(last);
   state.log.Write(
@@ -503,7 +512,9 @@
     // is lost instead of waiting on a closed connection.
     EndOpenRequests(state);
     const auto exit = state.time.now() + kLastAnswersPeriod;
-    while (host->OpenRequests() > 0 && state.time.now() < exit) {
+    while ((host->OpenRequests() > 0 || HasActiveConnection(*host->callers) ||
+            HasActiveConnection(*host->forwards)) &&
+           state.time.now() < exit) {
       Pause(state.io, kStopPollInterval, yield);
     }
     LogOpenConnections(state, *host->callers);
--- a/packages/gateway/http_server.cpp
+++ b/packages/gateway/http_server.cpp
@@ -129,7 +129,10 @@
         limits(bounds),
         on_request(std::move(request)),
         on_request_error(std::move(request_error)),
-        linger(io) {}
+        linger(io),
+        accept_retry(io) {}
+
+  static constexpr std::size_t kSpareBytes = 64 * 1024;
 
   asio::io_context& context;
   tcp::acceptor acceptor;
@@ -148,6 +151,10 @@
   std::list<connection*> idle;
   std::list<connection*> reading_head;
   asio::steady_timer linger;
+  asio::steady_timer accept_retry;
+  /// Released if there is no memory for the wait before the next attempt to
+  /// accept.
+  std::unique_ptr<char[]> spare;
 };
 
 namespace {
@@ -330,26 +337,52 @@
 class read_deadline {
  public:
   read_deadline(tcp::socket& socket, std::chrono::milliseconds limit)
-      : timer_(socket.get_executor(), limit) {
-    timer_.async_wait([&socket, expired = expired_](const io_error& ec) {
-      if (ec || *expired) return;
-      *expired = true;
-      io_error ignored;
-      socket.cancel(ignored);
-    });
+      : timer_(std::make_shared<timer_state>(socket)) {
+    Arm(timer_, limit);
   }
   // Disarms a timer handler that is already queued.
-  ~read_deadline() { *expired_ = true; }
+  ~read_deadline() {
+    timer_->disarmed = true;
+    timer_->timer.cancel();
+  }
+  read_deadline(const read_deadline&) = delete;
+  read_deadline& operator=(const read_deadline&) = delete;
+
+  bool expired() const { return timer_->expired; }
 
   /// Maps the error of a read cancelled by the deadline to a timeout.
   io_error Translate(const io_error& ec) const {
-    const bool timed_out = ec == asio::error::operation_aborted && *expired_;
+    const bool timed_out = ec == asio::error::operation_aborted && expired();
     return timed_out ? io_error(beast::error::timeout) : ec;
   }
 
  private:
-  std::shared_ptr<bool> expired_ = std::make_shared<bool>(false);
-  asio::steady_timer timer_;
+  struct timer_state {
+    explicit timer_state(tcp::socket& read)
+        : socket(read), timer(read.get_executor()) {}
+
+    tcp::socket& socket;
+    asio::steady_timer timer;
+    bool expired = false;
+    bool disarmed = false;
+  };
+
+  // Cancels repeatedly: an operation of several reads has none pending while
+  // the handler of one of them is queued.
+  static void Arm(const std::shared_ptr<timer_state>& armed,
+                  std::chrono::milliseconds wait) {
+    constexpr std::chrono::milliseconds kRepeat{10};
+    armed->timer.expires_after(wait);
+    armed->timer.async_wait([armed](const io_error& ec) {
+      if (ec || armed->disarmed) return;
+      armed->expired = true;
+      io_error ignored;
+      armed->socket.cancel(ignored);
+      Arm(armed, kRepeat);
+    });
+  }
+
+  std::shared_ptr<timer_state> timer_;
 };
 
 // The address sanitizer cannot follow an exception on the stack of a coroutine.
@@ -593,10 +626,10 @@
     buffer_.max_size(std::max<std::size_t>(
         buffer_.size(), state_->limits.max_header_bytes + kReadBytes));
     const io_error ec = Read(*parser, yield);
+    if (ended_) return false;
     if (ec) {
       const bool head_read = parser->is_header_done();
       parser.reset();
-      if (ended_) return false;
       Hold(0);
       SendRequestError(ec, yield);
       End(ToCause(ec, head_read), ec.message());
@@ -605,14 +638,21 @@
 
     const bool keep_alive =
         parser->get().keep_alive() && !state_->close_after_responses;
-    http_request request = ToRequest(parser->release());
-    io_error unknown;
-    const auto remote = stream_.socket().remote_endpoint(unknown);
-    if (!unknown) request.remote_host = remote.address().to_string();
-    parser.reset();
-    const bool stays_open = Handle(request, keep_alive, yield);
+    bool reusable = false;
+    {
+      http_request request = ToRequest(parser->release());
+      io_error unknown;
+      const auto remote = stream_.socket().remote_endpoint(unknown);
+      if (!unknown) request.remote_host = remote.address().to_string();
+      parser.reset();
+      reusable = Handle(request, keep_alive, yield);
+    }
     Hold(0);
-    return stays_open;
+    if (!reusable && !ended_) {
+      Linger(yield);
+      End(connection_cause::kAnswered);
+    }
+    return !ended_;
   }
 
   io_error Read(request_parser& parser, asio::yield_context yield) {
@@ -621,6 +661,7 @@
     stream_.expires_never();
     if (!Hold(0)) return NoMemory();
     {
+      head_begun_ = std::chrono::steady_clock::now();
       const list_entry entry(state_->reading_head, this);
       read_deadline deadline(stream_.socket(), state_->limits.header_timeout);
       http::async_read_header(stream_, buffer_, parser, yield[ec]);
@@ -636,6 +677,7 @@
     while (!ec && !parser.is_done()) {
       http::async_read_some(stream_, buffer_, parser, yield[ec]);
       if (!ec && !Hold(BodyBytes(parser))) return NoMemory();
+      if (!ec && deadline.expired()) return beast::error::timeout;
     }
     return deadline.Translate(ec);
   }
@@ -650,13 +692,17 @@
   // Takes the memory of the connection, its buffer, the coroutine of its
   // request and a body of `bytes`. Requests whose heads arrive slowly give way.
   bool Hold(std::size_t bytes) {
-    std::size_t needed = kConnectionBytes + buffer_.capacity() + bytes;
-    if (status_.phase != connection_phase::kIdle) needed += kCoroutineBytes;
+    if (ended_) return false;
+    const bool idle = status_.phase == connection_phase::kIdle;
+    const std::size_t needed = kConnectionBytes + buffer_.capacity() + bytes +
+                               (idle ? 0 : kCoroutineBytes);
     while (!held_.Resize(needed)) {
       auto& heads = state_->reading_head;
+      const auto now = std::chrono::steady_clock::now();
       const auto slowest = std::find_if(
-          heads.begin(), heads.end(), [this](const connection* reading) {
-            return reading != this && !reading->ended_;
+          heads.begin(), heads.end(), [&](const connection* reading) {
+            return reading != this && !reading->ended_ &&
+                   now - reading->head_begun_ >= kSlowHeadTime;
           });
       if (slowest == heads.end()) return false;
       (*slowest)->GiveUpRequest();
@@ -673,6 +719,8 @@
     http::async_write(stream_, message, yield[ignored]);
   }
 
+  // Returns whether the connection may carry another request. Ends it unless
+  // the response was sent in full.
   bool Handle(const http_request& request, bool keep_alive,
               asio::yield_context yield) {
     // Clears the timeout: the detector's wait, the only one that the socket may
@@ -684,22 +732,15 @@
     connection_writer writer(stream_, state_->limits, detector,
                              status_.position, keep_alive);
     detector->Start();
-    bool complete = false;
-    {
-      const request_mark mark(*state_, status_, request);
-      Serve(request, writer, yield);
-      detector->Stop();
-      complete = writer.progress() == response_progress::kComplete;
-      if (complete || writer.caller_disconnected()) {
-        status_.phase = connection_phase::kClosing;
-      }
-      if (!complete) End(writer.cause(), writer.detail());
-    }
-    if (complete && !writer.reusable()) {
-      Linger(yield);
-      End(writer.cause(), writer.detail());
+    const detector_stop stop(*detector);
+    const request_mark mark(*state_, status_, request);
+    Serve(request, writer, yield);
+    const bool complete = writer.progress() == response_progress::kComplete;
+    if (complete || writer.caller_disconnected()) {
+      status_.phase = connection_phase::kClosing;
     }
-    return !ended_;
+    if (!complete) End(writer.cause(), writer.detail());
+    return writer.reusable();
   }
 
   // An exception ends the request only. Its handler must not suspend the
@@ -752,13 +793,12 @@
     for (auto left = state_->limits.write_timeout; left.count() > 0;
          left -= kLingerTime) {
       const read_deadline deadline(stream_.socket(), kLingerTime);
-      while (!ec && taken < kLingerBytes) {
+      while (!ec && !deadline.expired() && taken < kLingerBytes) {
         buffer_.clear();
         taken +=
             stream_.async_read_some(buffer_.prepare(kReadBytes), yield[ec]);
       }
-      const bool timed_out = deadline.Translate(ec) == beast::error::timeout;
-      if (!timed_out || !HasUnsentBytes()) return;
+      if (!deadline.expired() || !HasUnsentBytes()) return;
       ec = {};
     }
   }
@@ -784,6 +824,19 @@
     std::list<connection*>::iterator place_;
   };
 
+  // Stops a detector at the end of the scope, also after an exception.
+  class detector_stop {
+   public:
+    explicit detector_stop(disconnect_detector& detector)
+        : detector_(detector) {}
+    ~detector_stop() { detector_.Stop(); }
+    detector_stop(const detector_stop&) = delete;
+    detector_stop& operator=(const detector_stop&) = delete;
+
+   private:
+    disconnect_detector& detector_;
+  };
+
   // Marks a request as served for the life of the object.
   class request_mark {
    public:
@@ -808,6 +861,8 @@
   static constexpr std::size_t kReadBytes = 4096;
   static constexpr std::size_t kLingerBytes = 4 * 1024 * 1024;
   static constexpr std::chrono::seconds kLingerTime{1};
+  // An incomplete head gives way after this time.
+  static constexpr std::chrono::seconds kSlowHeadTime{1};
   static constexpr std::size_t kConnectionBytes = 2048;
   // The part of its stack that a request usually touches.
   static constexpr std::size_t kCoroutineBytes = 8192;
@@ -818,6 +873,7 @@
   byte_share held_;
   std::uint64_t number_;
   connection_status status_;
+  std::chrono::steady_clock::time_point head_begun_;
   /// Limits the wait for a request.
   asio::steady_timer timer_;
   bool waiting_ = false;
@@ -861,14 +917,14 @@
       !MakeRoom(*shared)) {
     return Refuse(*shared, refusal::kNoRoom, "no idle connection");
   }
+  std::shared_ptr<connection> accepted;
   try {
-    const auto accepted =
-        std::make_shared<connection>(shared, std::move(socket));
+    accepted = std::make_shared<connection>(shared, std::move(socket));
     if (accepted->Start()) return;
-    accepted->End(connection_cause::kNoMemory, "memory budget");
   } catch (const std::bad_alloc&) {
     ClearEndedFrames();
   }
+  if (accepted) accepted->End(connection_cause::kNoMemory);
   Refuse(*shared, refusal::kNoMemory, "");
 }
 
@@ -881,6 +937,11 @@
     tcp::socket socket(shared->context);
     shared->acceptor.accept(socket, ec);
     if (ec == asio::error::would_block) return {};
+    // The caller has left already.
+    if (ec == asio::error::connection_aborted ||
+        ec == boost::system::errc::protocol_error) {
+      continue;
+    }
     const bool made_room = ec && MakeRoom(*shared);
     if (ec && !made_room) return ec;
     if (!ec) Admit(shared, std::move(socket));
@@ -888,29 +949,46 @@
   return {};
 }
 
-void AcceptLoop(const std::shared_ptr<http_server::state>& shared,
-                asio::yield_context yield) {
+void AwaitCallers(const std::shared_ptr<http_server::state>& shared);
+
+// Accepts again after a delay, in which descriptors or memory may be given
+// back.
+void RetryAccept(const std::shared_ptr<http_server::state>& shared,
+                 const io_error& failed) {
   constexpr std::chrono::milliseconds kAcceptRetry{50};
-  // Released if there is no memory for the wait before the next attempt.
-  constexpr std::size_t kSpareBytes = 64 * 1024;
-  std::unique_ptr<char[]> spare;
-  while (shared->acceptor.is_open()) {
-    io_error ec;
-    try {
-      if (!spare) spare = std::make_unique<char[]>(kSpareBytes);
-      shared->acceptor.async_wait(tcp::acceptor::wait_read, yield[ec]);
-      if (ec == asio::error::operation_aborted) return;
-      if (!ec) ec = AcceptWaiting(shared);
-      if (!ec) continue;
-    } catch (const std::bad_alloc&) {
-      ec = make_error_code(boost::system::errc::not_enough_memory);
+  shared->spare.reset();
+  Refuse(*shared, refusal::kAcceptFailed, failed.message());
+  shared->accept_retry.expires_after(kAcceptRetry);
+  shared->accept_retry.async_wait([shared](const io_error& ec) {
+    if (!ec) AwaitCallers(shared);
+  });
+}
+
+void OnCallers(const std::shared_ptr<http_server::state>& shared, io_error ec) {
+  if (ec == asio::error::operation_aborted) return;
+  try {
+    if (!ec) ec = AcceptWaiting(shared);
+    if (!ec) return AwaitCallers(shared);
+  } catch (const std::bad_alloc&) {
+    ec = make_error_code(boost::system::errc::not_enough_memory);
+  }
+  RetryAccept(shared, ec);
+}
+
+void AwaitCallers(const std::shared_ptr<http_server::state>& shared) {
+  if (!shared->acceptor.is_open()) return;
+  try {
+    if (!shared->spare) {
+      shared->spare = std::make_unique<char[]>(http_server::state::kSpareBytes);
     }
+    shared->acceptor.async_wait(
+        tcp::acceptor::wait_read,
+        [shared](const io_error& ec) { OnCallers(shared, ec); });
+    return;
+  } catch (const std::bad_alloc&) {
     ClearEndedFrames();
-    spare.reset();
-    Refuse(*shared, refusal::kAcceptFailed, ec.message());
-    asio::steady_timer pause(shared->context, kAcceptRetry);
-    pause.async_wait(yield[ec]);
   }
+  RetryAccept(shared, make_error_code(boost::system::errc::not_enough_memory));
 }
 
 }  // namespace
@@ -929,11 +1007,16 @@
   if (!ec)
     shared->acceptor.listen(asio::socket_base::max_listen_connections, ec);
   if (!ec) shared->acceptor.non_blocking(true, ec);
+  // Otherwise accept waits, even if it is non-blocking, for the next caller
+  // after one that has left.
+  if (!ec) {
+    shared->acceptor.set_option(
+        asio::socket_base::enable_connection_aborted(true), ec);
+  }
   if (ec) {
     return Fail(error_code::kUnavailable, address + ": " + ec.message());
   }
-  SpawnTask(context,
-            [shared](asio::yield_context yield) { AcceptLoop(shared, yield); });
+  AwaitCallers(shared);
   return std::unique_ptr<http_server>(new http_server(std::move(shared)));
 }
 
@@ -943,6 +1026,7 @@
 http_server::~http_server() {
   io_error ignored;
   state_->acceptor.close(ignored);
+  state_->accept_retry.cancel();
   // Connections may outlive the server and what its callback refers to.
   state_->on_connection_end = nullptr;
   state_->on_refusal = nullptr;
--- a/packages/gateway/task_stack.cpp
+++ b/packages/gateway/task_stack.cpp
@@ -16,7 +16,7 @@
 #ifdef __SANITIZE_ADDRESS__
 constexpr std::size_t kStackBytes = 512 * 1024;
 #else
-constexpr std::size_t kStackBytes = 64 * 1024;
+constexpr std::size_t kStackBytes = 128 * 1024;
 #endif
 constexpr std::size_t kKeptStacks = 32;
 
--- a/packages/gateway/tests/connection_end_test.cpp
+++ b/packages/gateway/tests/connection_end_test.cpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "limited_server.h"
@@ -180,6 +181,7 @@
     slow.push_back(Connect());
     slow.back()->Send("GET / HTT");
   }
+  RunFor(milliseconds(1100));
   auto caller = Connect();
   caller->Send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n" +
                std::string(kBodyBytes, 'x'));
@@ -188,5 +190,50 @@
   EXPECT_GT(ends_["made_room"], 0);
 }
 
+// Guards against heads that have just begun and give way to others, though the
+// rest of them is on its way.
+TEST_F(ending_connections, NewHeadsDoNotGiveWay) {
+  http_limits limits;
+  limits.memory = std::make_shared<byte_budget>(256 * 1024);
+  Listen(limits);
+  std::vector<std::unique_ptr<blocking_caller>> begun;
+  for (int i = 0; i < 10; ++i) {
+    begun.push_back(Connect());
+    begun.back()->Send("GET / HTT");
+  }
+  auto large = Connect();
+  large->Send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n" +
+              std::string(150'000, 'x'));
+  RunFor(milliseconds(50));
+  for (const auto& caller : begun) caller->Send("P/1.1\r\nHost: h\r\n\r\n");
+  RunFor(milliseconds(100));
+  for (const auto& caller : begun) {
+    EXPECT_EQ(caller->ReadStatus(milliseconds(200)), 200);
+  }
+}
+
+// Guards against a request without a time limit: its deadline ends while a read
+// has completed and its handler is queued, so that no read can be cancelled.
+TEST_F(ending_connections, DeadlineBetweenTwoReadsEndsTheRequest) {
+  http_limits limits;
+  limits.header_timeout = milliseconds(200);
+  limits.body_timeout = milliseconds(200);
+  Listen(limits);
+  auto head = Connect();
+  auto body = Connect();
+  head->Send("GET / HTT");
+  body->Send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n");
+  RunFor(milliseconds(50));
+  head->Send("P/1.1\r\n");
+  body->Send("abc");
+  // The server does not run while the deadlines end.
+  std::this_thread::sleep_for(milliseconds(300));
+  RunFor(milliseconds(300));
+  EXPECT_EQ(head->ReadStatus(milliseconds(100)),
+            Describe(problem_code::kRequestTimeout).http_status);
+  EXPECT_EQ(body->ReadStatus(milliseconds(100)),
+            Describe(problem_code::kRequestTimeout).http_status);
+}
+
 }  // namespace
 }  // namespace bluebell::gateway
