--- a/cmake/bluebell_package.cmake
+++ b/cmake/bluebell_package.cmake
@@ -14,6 +14,11 @@
     -fsanitize=address,undefined -fno-sanitize-recover=undefined -fno-omit-frame-pointer)
   target_link_options(bluebell_options INTERFACE -fsanitize=address,undefined)
 endif()
+if(BLUEBELL_FUZZ)
+  target_compile_options(bluebell_options INTERFACE
+    -fsanitize=fuzzer-no-link,address,undefined -fno-sanitize-recover=undefined -fno-omit-frame-pointer)
+  target_link_options(bluebell_options INTERFACE -fsanitize=address,undefined)
+endif()
 target_link_libraries(bluebell_options INTERFACE Threads::Threads)
 
 if(BLUEBELL_TESTS)
--- a/scripts/build.sh
+++ b/scripts/build.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Configures and builds one tree: scripts/build.sh [plain|sanitize] [target...]
+# Configures and builds one tree: scripts/build.sh [plain|sanitize|fuzz] [target...]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 variant="${1:-plain}"
@@ -9,7 +9,10 @@
   plain) dir=build; options=(-DCMAKE_BUILD_TYPE=RelWithDebInfo) ;;
   sanitize) dir=build-sanitize
     options=(-DCMAKE_BUILD_TYPE=Debug -DCMAKE_CXX_FLAGS_DEBUG=-O1\ -g1 -DBLUEBELL_SANITIZE=ON) ;;
-  *) echo "unknown build variant '$variant'; allowed: plain, sanitize" >&2; exit 2 ;;
+  fuzz) dir=build-fuzz
+    options=(-DCMAKE_BUILD_TYPE=RelWithDebInfo -DCMAKE_CXX_COMPILER=clang++-14
+      -DBLUEBELL_FUZZ=ON -DBLUEBELL_TESTS=OFF) ;;
+  *) echo "unknown build variant '$variant'; allowed: plain, sanitize, fuzz" >&2; exit 2 ;;
 esac
 cmake -S . -B "$dir" -G Ninja "${options[@]}" >"/dev/null"
 cmake --build "$dir" ${1:+--target "$@"}
