--- a/packages/gateway/http_server.cpp
+++ b/packages/gateway/http_server.cpp
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
@@ -507,6 +508,8 @@
     if (ended_) return;
     ended_ = true;
     StopWaiting();
+    ++waits_;
+    timer_.cancel();
     if (cause == connection_cause::kCallerClosed &&
         status_.phase == connection_phase::kIdle) {
       status_.phase = connection_phase::kClosing;
@@ -632,7 +635,7 @@
       parser.reset();
       Hold(0);
       SendRequestError(ec, yield);
-      End(ToCause(ec, head_read), ec.message());
+      BeginLinger(ToCause(ec, head_read), ec.message());
       return false;
     }
 
@@ -648,11 +651,8 @@
       reusable = Handle(request, keep_alive, yield);
     }
     Hold(0);
-    if (!reusable && !ended_) {
-      Linger(yield);
-      End(connection_cause::kAnswered);
-    }
-    return !ended_;
+    if (!reusable && !ended_) BeginLinger(connection_cause::kAnswered, {});
+    return reusable;
   }
 
   io_error Read(request_parser& parser, asio::yield_context yield) {
@@ -693,9 +693,10 @@
   // request and a body of `bytes`. Requests whose heads arrive slowly give way.
   bool Hold(std::size_t bytes) {
     if (ended_) return false;
-    const bool idle = status_.phase == connection_phase::kIdle;
+    const bool has_coroutine = status_.phase == connection_phase::kReading ||
+                               status_.phase == connection_phase::kServing;
     const std::size_t needed = kConnectionBytes + buffer_.capacity() + bytes +
-                               (idle ? 0 : kCoroutineBytes);
+                               (has_coroutine ? kCoroutineBytes : 0);
     while (!held_.Resize(needed)) {
       auto& heads = state_->reading_head;
       const auto now = std::chrono::steady_clock::now();
@@ -779,30 +780,62 @@
     connection_writer writer(stream_, state_->limits, detector,
                              status_.position, false);
     writer.SendResponse(state_->on_request_error(*code, ec.message()), yield);
-    Linger(yield);
   }
 
-  // Lingering close: discards what the caller still sends for a limited time,
-  // longer while it has not received all. Closing immediately would reset the
-  // connection and could lose the response.
-  void Linger(asio::yield_context yield) {
-    io_error ec;
-    stream_.socket().shutdown(tcp::socket::shutdown_send, ec);
+  // Lingering close, without a coroutine: discards what the caller still sends
+  // for a limited time, longer while it has not received all. Closing
+  // immediately would reset the connection and could lose the response.
+  void BeginLinger(connection_cause cause, const std::string& detail) {
+    linger_cause_ = cause;
+    linger_detail_ = detail;
+    status_.phase = connection_phase::kClosing;
+    buffer_.clear();
+    buffer_.shrink_to_fit();
+    Hold(0);
+    io_error failed;
     stream_.expires_never();
-    std::size_t taken = 0;
-    for (auto left = state_->limits.write_timeout; left.count() > 0;
-         left -= kLingerTime) {
-      const read_deadline deadline(stream_.socket(), kLingerTime);
-      while (!ec && !deadline.expired() && taken < kLingerBytes) {
-        buffer_.clear();
-        taken +=
-            stream_.async_read_some(buffer_.prepare(kReadBytes), yield[ec]);
-      }
-      if (!deadline.expired() || !HasUnsentBytes()) return;
-      ec = {};
-    }
+    stream_.socket().shutdown(tcp::socket::shutdown_send, failed);
+    if (failed) return EndLinger();
+    ++waits_;
+    receive_time_left_ = state_->limits.write_timeout;
+    LimitLinger();
+    AwaitDiscard();
   }
 
+  void LimitLinger() {
+    timer_.expires_after(kLingerTime);
+    timer_.async_wait(
+        [self = shared_from_this(), wait = waits_](const io_error& ec) {
+          if (ec || wait != self->waits_) return;
+          self->receive_time_left_ -= kLingerTime;
+          const bool receives =
+              self->receive_time_left_.count() > 0 && self->HasUnsentBytes();
+          return receives ? self->LimitLinger() : self->EndLinger();
+        });
+  }
+
+  void AwaitDiscard() {
+    stream_.socket().async_wait(
+        tcp::socket::wait_read,
+        [self = shared_from_this(), wait = waits_](const io_error& ec) {
+          if (wait != self->waits_) return;
+          return !ec && self->Discard() ? self->AwaitDiscard()
+                                        : self->EndLinger();
+        });
+  }
+
+  // Returns whether the caller may send more.
+  bool Discard() {
+    std::array<char, kReadBytes> bytes;
+    const auto count = recv(stream_.socket().native_handle(), bytes.data(),
+                            bytes.size(), MSG_DONTWAIT);
+    if (count < 0) return errno == EAGAIN || errno == EINTR;
+    discarded_ += static_cast<std::size_t>(count);
+    return count > 0 && discarded_ < kLingerBytes;
+  }
+
+  void EndLinger() { End(linger_cause_, linger_detail_); }
+
   // Whether the caller has not acknowledged all that was written.
   bool HasUnsentBytes() {
     int count = 0;
@@ -882,6 +915,10 @@
   /// Tells the handlers of the current wait from those of earlier ones.
   std::uint64_t waits_ = 0;
   std::list<connection*>::iterator place_;
+  /// Why the connection ends after a lingering close.
+  connection_cause linger_cause_ = connection_cause::kNone;
+  std::string linger_detail_;
+  std::size_t discarded_ = 0;
   bool ended_ = false;
 };
 
--- a/packages/gateway/network.cpp
+++ b/packages/gateway/network.cpp
@@ -10,6 +10,10 @@
 
 #include "gateway/task_stack.h"
 
+#ifdef __SANITIZE_ADDRESS__
+#include <sanitizer/asan_interface.h>
+#endif
+
 namespace bluebell::gateway {
 namespace {
 
@@ -24,9 +28,13 @@
   std::function<void(asio::yield_context)> task;
   task_handler handler;
   std::weak_ptr<coroutine> self;
+  /// Frame at the begin of the coroutine's stack. Not a member: what destroys
+  /// the coroutine must not own the state, which refers to it.
+  std::shared_ptr<char*> first_frame;
 };
 
 void RunTask(task_state& state, resumer& resume) {
+  *state.first_frame = static_cast<char*>(__builtin_frame_address(0));
   const asio::yield_context yield(state.self, resume, state.handler);
   try {
     state.task(yield);
@@ -35,6 +43,20 @@
   }
 }
 
+// Ends a suspended coroutine by an exception, which the address sanitizer
+// cannot follow on its stack: clears the marks of the frames first.
+void Destroy(const coroutine* ended, const char* first_frame) {
+#ifdef __SANITIZE_ADDRESS__
+  if (first_frame != nullptr) {
+    const std::size_t bytes = task_stack_allocator::stack_bytes();
+    __asan_unpoison_memory_region(first_frame - bytes, bytes);
+  }
+#else
+  static_cast<void>(first_frame);
+#endif
+  delete ended;
+}
+
 }  // namespace
 
 void DisableNagle(asio::ip::tcp::socket& socket) {
@@ -49,11 +71,16 @@
   const auto state = std::make_shared<task_state>(task_state{
       std::move(task),
       task_handler(asio::executor_arg_t(), context.get_executor(), [] {}),
-      {}});
-  const auto created = std::make_shared<coroutine>(
-      [state](resumer& resume) { RunTask(*state, resume); },
-      boost::coroutines::attributes(task_stack_allocator::stack_bytes()),
-      task_stack_allocator());
+      {},
+      std::make_shared<char*>(nullptr)});
+  const std::shared_ptr<coroutine> created(
+      new coroutine(
+          [state](resumer& resume) { RunTask(*state, resume); },
+          boost::coroutines::attributes(task_stack_allocator::stack_bytes()),
+          task_stack_allocator()),
+      [frame = state->first_frame](const coroutine* ended) {
+        Destroy(ended, *frame);
+      });
   state->self = created;
   asio::dispatch(context, [created] { (*created)(); });
 }
