base: JSON nested more than 64 levels is malformed

A body whose lists are nested 10,000 levels ended the gateway: the search for the caller's key in the body, and copying and printing a document, recurse at each level, and a request has a stack of 64 KB. No JSON of callers, engines, operators, other hosts or the store was bounded, except the objects in a list of the hosted store and the CBOR messages.

ParseJson, beside ParseCbor, checks the depth before a document is built. Deeper text is the same as malformed text: callers and operators get 400 malformed_request, an answer of an engine or the store is unreadable. All reads of such bytes use it, and the lists of the hosted store and the frames between hosts now share its check; their bounds stay (64 and 32 levels). The program of load and ctl use it, too. The stand-ins are unchanged.

The search for the key reads the text without a document, so that it needs no bound: with one, a service would get a key that an escaped text hides below 64 levels.

Before (gateway_tests, each test by itself): [ RUN ] gateway_test.DeepBodyIsMalformedAndTheNextRequestIsServed bad_input_test.cpp:111: Failure response.substr(0, 12) Which is: "HTTP/1.1 200" "HTTP/1.1 400" 64 Segmentation fault (exit status 139; the body after 64 levels has 1,000) [ RUN ] gateway_test.KeyInDeepBodyIsRefused Segmentation fault (exit status 139) The tests in base are of new functions and have no run before.

After: all tests of base, gateway, peer, store, admin, ctl and the platform adapter pass (plain build). No test of its own: the reads of the hosted store, the store client, ctl and the bench. Not run: the sanitizers, and the cost of the second pass over each document.

--- a/packages/admin/admin_service.cpp
+++ b/packages/admin/admin_service.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "base/digest.h"
+#include "base/nested_json.h"
 #include "config/row_names.h"
 
 namespace bluebell::admin {
@@ -304,7 +305,7 @@
                            "a row has at most 64 KB"));
     return;
   }
-  const json value = json::parse(request.body, nullptr, false);
+  const json value = ParseJson(request.body);
   if (value.is_discarded()) {
     done(MakeErrorResponse(problem_code::kMalformedRequest,
                            "the body is not JSON"));
--- a/packages/bench/load_run.cpp
+++ b/packages/bench/load_run.cpp
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <memory>
 
+#include "base/nested_json.h"
 #include "gateway/endpoint_connection.h"
 #include "gateway/event_stream.h"
 #include "gateway/network.h"
@@ -127,7 +128,7 @@
     }
     const auto body = connection->ReadBody(kProblemBytes, kAnswerTime, yield);
     if (body) {
-      const auto problem = nlohmann::json::parse(*body, nullptr, false);
+      const auto problem = ParseJson(*body);
       if (problem.is_object()) outcome.code = problem.value("code", "");
     }
     return outcome;
--- a/packages/ctl/host_commands.cpp
+++ b/packages/ctl/host_commands.cpp
@@ -6,6 +6,7 @@
 #include <sstream>
 
 #include "base/digest.h"
+#include "base/nested_json.h"
 
 namespace bluebell::ctl {
 namespace {
@@ -22,7 +23,7 @@
   for (const auto& host : current.admin.hosts()) {
     const auto answer = host->Call({"GET", RowPath("keys", digest), {}, ""});
     if (!answer || answer->status != 200) continue;
-    const json body = json::parse(answer->body, nullptr, false);
+    const json body = ParseJson(answer->body);
     if (!body.is_object() || !body.contains("row")) continue;
     return shown_row{revision(body.value("revision", std::uint64_t{0})),
                      body["row"]};
--- a/packages/ctl/session.cpp
+++ b/packages/ctl/session.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 
+#include "base/nested_json.h"
+
 namespace bluebell::ctl {
 namespace {
 
@@ -57,7 +59,7 @@
     return tl::unexpected(unreachable ? exit_code::kUnreachable
                                       : exit_code::kFailed);
   }
-  json body = json::parse(answer->body, nullptr, false);
+  json body = ParseJson(answer->body);
   if (answer->status >= 200 && answer->status < 300 && body.is_object()) {
     return body;
   }
--- a/packages/gateway/dispatch_filter.cpp
+++ b/packages/gateway/dispatch_filter.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <utility>
 
+#include "base/nested_json.h"
 #include "gateway/event_stream.h"
 #include "gateway/listener_probe.h"
 #include "gateway/network.h"
@@ -69,7 +70,7 @@
 
 std::int64_t CompletionTokens(const http_response& response,
                               const exchange& current) {
-  const auto body = nlohmann::json::parse(response.body, nullptr, false);
+  const auto body = ParseJson(response.body);
   if (body.is_object() && body.contains("usage") && body["usage"].is_object()) {
     const auto& usage = body["usage"];
     const auto tokens = usage.find("completion_tokens");
@@ -236,7 +237,7 @@
 // malformed or its index skips tokens.
 bool dispatch_filter::RelayEvent(exchange& current, const std::string& data,
                                  asio::yield_context yield) {
-  const auto content = nlohmann::json::parse(data, nullptr, false);
+  const auto content = ParseJson(data);
   if (!content.is_object()) return false;
   const auto index = content.find("index");
   const bool indexed = index != content.end() && index->is_number_integer();
--- a/packages/gateway/identify_filter.cpp
+++ b/packages/gateway/identify_filter.cpp
@@ -1,9 +1,9 @@
 #include "gateway/identify_filter.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 
 #include "base/digest.h"
+#include "base/nested_json.h"
 
 namespace bluebell::gateway {
 namespace {
@@ -15,17 +15,6 @@
   return text.find(key) != std::string::npos;
 }
 
-// Whether any string or object key in `value` contains `key`.
-bool JsonContains(const nlohmann::json& value, const std::string& key) {
-  if (value.is_string())
-    return Contains(value.get_ref<const std::string&>(), key);
-  if (!value.is_structured()) return false;
-  for (const auto& [name, member] : value.items()) {
-    if (Contains(name, key) || JsonContains(member, key)) return true;
-  }
-  return false;
-}
-
 std::string BearerKey(const http_request& request) {
   const std::string field = request.fields.Find(kAuthorization);
   if (field.size() <= kBearer.size() ||
@@ -48,8 +37,7 @@
   if (Contains(PercentDecode(request.query), key)) return true;
   if (Contains(request.body, key)) return true;
   if (Contains(PercentDecode(request.body), key)) return true;
-  const auto body = nlohmann::json::parse(request.body, nullptr, false);
-  return !body.is_discarded() && JsonContains(body, key);
+  return JsonTextContains(request.body, key);
 }
 
 std::string OtherHosts(const fleet::fleet_view& fleet) {
--- a/packages/gateway/json_client.cpp
+++ b/packages/gateway/json_client.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "base/nested_json.h"
 #include "gateway/endpoint_connection.h"
 #include "gateway/network.h"
 
@@ -45,8 +46,7 @@
   if (!head) return tl::unexpected(head.error());
   const auto body = (*opened)->ReadBody(kMaxResponseBytes, left(), yield);
   if (!body) return tl::unexpected(body.error());
-  return json_response{head->status,
-                       nlohmann::json::parse(*body, nullptr, false)};
+  return json_response{head->status, ParseJson(*body)};
 }
 
 }  // namespace
--- a/packages/gateway/parse_filter.cpp
+++ b/packages/gateway/parse_filter.cpp
@@ -1,6 +1,7 @@
 #include "gateway/parse_filter.h"
 
 #include "base/digest.h"
+#include "base/nested_json.h"
 
 namespace bluebell::gateway {
 namespace {
@@ -88,7 +89,7 @@
                    "send Content-Type: application/json");
     return false;
   }
-  current.body = nlohmann::json::parse(current.request.body, nullptr, false);
+  current.body = ParseJson(current.request.body);
   if (!current.body.is_object()) {
     current.Refuse(problem_code::kMalformedRequest,
                    "the body is not a JSON object");
--- a/packages/gateway/tests/bad_input_test.cpp
+++ b/packages/gateway/tests/bad_input_test.cpp
@@ -89,5 +89,51 @@
             std::string::npos);
 }
 
+// A list nested `levels` deep around `inner`.
+std::string Nested(std::size_t levels, const std::string& inner = "") {
+  return std::string(levels, '[') + inner + std::string(levels, ']');
+}
+
+std::string CompletionBody(const std::string& extra) {
+  return R"({"model":"m","prompt":"p","max_tokens":8,"extra":)" + extra + "}";
+}
+
+// Guards against a body nested so deep that reading it runs out of stack and
+// ends the process.
+TEST_F(gateway_test, DeepBodyIsMalformedAndTheNextRequestIsServed) {
+  scripted_endpoint endpoint({[](const std::string& request) {
+    return FullResponse(request, R"({"usage":{"completion_tokens":5}})");
+  }});
+  Start({endpoint.address()});
+  for (const std::size_t levels : {64U, 1'000U, 10'000U, 100'000U}) {
+    const std::string response =
+        Post("/v1/completions", CompletionBody(Nested(levels)));
+    EXPECT_EQ(response.substr(0, 12), "HTTP/1.1 400") << levels;
+    EXPECT_NE(response.find("\"code\":\"malformed_request\""),
+              std::string::npos)
+        << levels << ": " << response;
+  }
+  EXPECT_TRUE(endpoint.requests().empty());
+  // The object around the list is one level.
+  const std::string response =
+      Post("/v1/completions", CompletionBody(Nested(63)));
+  EXPECT_EQ(response.substr(0, 12), "HTTP/1.1 200") << response;
+  ASSERT_EQ(endpoint.requests().size(), 1U);
+  EXPECT_NE(endpoint.requests()[0].find(Nested(63)), std::string::npos);
+}
+
+// Guards against a key that reaches an engine because it is in an escaped text
+// that is nested deep.
+TEST_F(gateway_test, KeyInDeepBodyIsRefused) {
+  scripted_endpoint endpoint({});
+  Start({endpoint.address()});
+  const std::string response =
+      Post("/orders", Nested(10'000, R"("\u0073ecret-key-of-ndiaye")"),
+           "Idempotency-Key: 1\r\n");
+  EXPECT_NE(response.find("\"code\":\"malformed_request\""), std::string::npos)
+      << response;
+  EXPECT_TRUE(endpoint.requests().empty());
+}
+
 }  // namespace
 }  // namespace bluebell::gateway
--- a/packages/peer/frame.cpp
+++ b/packages/peer/frame.cpp
@@ -3,6 +3,8 @@
 #include <cmath>
 #include <websocketpp/utf8_validator.hpp>
 
+#include "base/nested_json.h"
+
 namespace bluebell::peer {
 namespace {
 
@@ -14,36 +16,17 @@
 
 // Accepts documents of bounded depth whose strings are valid UTF-8; invalid
 // UTF-8 would make a later serialisation to JSON throw.
-class frame_checker final : public nlohmann::json_sax<json> {
+class frame_checker final : public nesting_check {
  public:
-  bool null() override { return true; }
-  bool boolean(bool) override { return true; }
-  bool number_integer(json::number_integer_t) override { return true; }
-  bool number_unsigned(json::number_unsigned_t) override { return true; }
+  frame_checker() : nesting_check(kMaxDepth) {}
+
   bool number_float(json::number_float_t value, const std::string&) override {
     return std::isfinite(value);
   }
   bool string(std::string& text) override {
     return websocketpp::utf8_validator::validate(text);
   }
-  bool binary(json::binary_t&) override { return true; }
-  bool start_object(std::size_t) override { return ++depth_ <= kMaxDepth; }
   bool key(std::string& text) override { return string(text); }
-  bool end_object() override { return Leave(); }
-  bool start_array(std::size_t) override { return ++depth_ <= kMaxDepth; }
-  bool end_array() override { return Leave(); }
-  bool parse_error(std::size_t, const std::string&,
-                   const nlohmann::detail::exception&) override {
-    return false;
-  }
-
- private:
-  bool Leave() {
-    --depth_;
-    return true;
-  }
-
-  int depth_ = 0;
 };
 
 // Returns a discarded value if `data` is not an accepted document. The library
--- a/packages/serving/cbor_message.h
+++ b/packages/serving/cbor_message.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <string_view>
 
-#include "base/cbor.h"
+#include "base/nested_json.h"
 #include "base/result.h"
 
 namespace bluebell::serving {
--- a/packages/serving/host_digest.cpp
+++ b/packages/serving/host_digest.cpp
@@ -2,7 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "base/cbor.h"
+#include "base/nested_json.h"
 #include "base/utf8.h"
 #include "serving/cbor_message.h"
 #include "serving/limit_codec.h"
--- a/packages/store/http_object_store.cpp
+++ b/packages/store/http_object_store.cpp
@@ -14,6 +14,7 @@
 
 #include "base/address.h"
 #include "base/byte_budget.h"
+#include "base/nested_json.h"
 
 namespace bluebell::store {
 namespace {
@@ -335,7 +336,7 @@
   auto message = parser_->release();
   response received;
   received.status = message.result_int();
-  received.body = json::parse(message.body(), nullptr, false);
+  received.body = ParseJson(message.body());
   // Bytes after the response would be parsed as the response to the next call.
   const bool reusable = message.keep_alive() && buffer_.size() == 0;
   const auto owner = client_.lock();
