--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Checks format and naming, builds with warnings as errors, and runs all tests
-# plain and under the address and undefined-behaviour sanitizers.
+# plain and under the address and undefined-behaviour sanitizers, then the fuzz
+# targets for a minute.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -18,6 +19,7 @@
 python3 soak/soak.py --seed 1 --seeds 2 --seconds 15 --crash-parts
 scripts/build.sh sanitize
 run_tests build-sanitize
+scripts/fuzz.sh 60 1
 if [ -n "$known_red" ]; then
   echo "passed over (KNOWN-RED.txt):"
   printf '  %s\n' "$known_red"
