--- a/packages/gateway/http_server.cpp
+++ b/packages/gateway/http_server.cpp
@@ -372,7 +372,6 @@
   // the handler of one of them is queued.
   static void Arm(const std::shared_ptr<timer_state>& armed,
                   std::chrono::milliseconds wait) {
-    constexpr std::chrono::milliseconds kRepeat{10};
     armed->timer.expires_after(wait);
     armed->timer.async_wait([armed](const io_error& ec) {
       if (ec || armed->disarmed) return;
@@ -383,6 +382,8 @@
     });
   }
 
+  static constexpr std::chrono::milliseconds kRepeat{10};
+
   std::shared_ptr<timer_state> timer_;
 };
 
