nested_json: check the depth only of text that can be too deep

Text with at most 64 opening brackets is not nested more than 64 levels, and was read twice for nothing: each event of a stream, each record of the store's lists.

--- a/packages/base/nested_json.cpp
+++ b/packages/base/nested_json.cpp
@@ -1,5 +1,6 @@
 #include "base/nested_json.h"
 
+#include <algorithm>
 #include <limits>
 
 namespace bluebell {
@@ -43,8 +44,12 @@
 }
 
 json ParseJson(std::string_view text) {
+  // Most texts have too few brackets to be nested too deeply.
+  const auto brackets = std::count_if(
+      text.begin(), text.end(), [](char c) { return c == '[' || c == '{'; });
   nesting_check check(kMaxJsonDepth);
-  if (!json::sax_parse(text.begin(), text.end(), &check)) {
+  if (brackets > kMaxJsonDepth &&
+      !json::sax_parse(text.begin(), text.end(), &check)) {
     return json(json::value_t::discarded);
   }
   return json::parse(text.begin(), text.end(), nullptr, false);
