edge_host: listeners take what to do at the end of a connection; room_ledger: one match

The callers' and forwards' listeners replaced the function that was set a few lines before and repeated it. Three places of room_ledger matched a holder and its number. No change of behaviour.

--- a/packages/edge/edge_host.cpp
+++ b/packages/edge/edge_host.cpp
@@ -37,8 +37,8 @@
 // Maximum time before the exit in which the answers to requests that are still
 // open are sent.
 constexpr milliseconds kLastAnswersPeriod{400};
-// The tasks of a stop that take longer than they should by this time are
-// abandoned.
+// The process ends this long after the last answers were due, also if a task of
+// the stop has failed.
 constexpr milliseconds kStopTimerMargin{100};
 // The process ends after this long without a new request, or this long after
 // the last one that is accepted: callers may go on to be refused.
@@ -317,10 +317,12 @@
     host->starts.Ask(attempt);
   };
 
+  using end_handler = std::function<void(const gateway::connection_status&)>;
   std::optional<error> failed;
   const auto listen = [&](const char* name, const std::string& address,
                           std::size_t share, gateway::http_limits limits,
-                          http_server::handler handler) {
+                          http_server::handler handler,
+                          end_handler on_end = nullptr) {
     limits.max_connections = DescriptorShare(share);
     auto server =
         http_server::Listen(context, address, limits, std::move(handler),
@@ -330,8 +332,10 @@
       return std::unique_ptr<http_server>();
     }
     auto& counts = host->counts.emplace_back(host->state, name);
-    (*server)->OnConnectionEnd(
-        [&counts](const auto& last) { counts.OnEnd(last); });
+    (*server)->OnConnectionEnd([&counts, on_end](const auto& last) {
+      counts.OnEnd(last);
+      if (on_end) on_end(last);
+    });
     (*server)->OnRefusal([&counts](auto reason, const auto& detail) {
       counts.OnRefusal(reason, detail);
     });
@@ -350,31 +354,24 @@
   local.max_body_bytes = kMaxLocalBodyBytes;
   auto shared = ToHttpLimits({});
   shared.memory = host->state.memory;
-  host->callers =
-      listen("callers", settings.callers_listen, kCallerShare, shared,
-             [host](const auto& request, auto& sink, auto yield) {
-               RelayRequest(host->state, request, sink, yield);
-             });
-  host->forwards = listen("forwards", settings.forwards_listen, kForwardShare,
-                          ToForwardLimits(shared),
-                          [host](const auto& request, auto& sink, auto yield) {
-                            RelayForwarded(host->state, request, sink, yield);
-                          });
-  if (host->callers) {
-    host->callers->OnConnectionEnd(
-        [host, &counts = host->counts.front()](const auto& last) {
-          counts.OnEnd(last);
-          LogRequestCutOff(host->state, "caller", last);
-          LogConnectionEnd(host->state, last);
-        });
-  }
-  if (host->forwards) {
-    host->forwards->OnConnectionEnd(
-        [host, &counts = host->counts.back()](const auto& last) {
-          counts.OnEnd(last);
-          LogRequestCutOff(host->state, "host", last);
-        });
-  }
+  host->callers = listen(
+      "callers", settings.callers_listen, kCallerShare, shared,
+      [host](const auto& request, auto& sink, auto yield) {
+        RelayRequest(host->state, request, sink, yield);
+      },
+      [host](const auto& last) {
+        LogRequestCutOff(host->state, "caller", last);
+        LogConnectionEnd(host->state, last);
+      });
+  host->forwards = listen(
+      "forwards", settings.forwards_listen, kForwardShare,
+      ToForwardLimits(shared),
+      [host](const auto& request, auto& sink, auto yield) {
+        RelayForwarded(host->state, request, sink, yield);
+      },
+      [host](const auto& last) {
+        LogRequestCutOff(host->state, "host", last);
+      });
   host->ready = listen(
       "ready", settings.ready_listen, kReadyShare, local,
       [host](const auto&, auto& sink, auto yield) {
--- a/packages/serving/room_ledger.cpp
+++ b/packages/serving/room_ledger.cpp
@@ -4,6 +4,16 @@
 #include <cmath>
 
 namespace bluebell::serving {
+namespace {
+
+// Matches the grant or the request `number` of `holder`.
+auto IsOf(const std::string& holder, std::uint64_t number) {
+  return [&holder, number](const auto& entry) {
+    return entry.holder == holder && entry.number == number;
+  };
+}
+
+}  // namespace
 
 bool room_ledger::HasRoom(state& engine) const {
   const auto now = clock_.now();
@@ -36,9 +46,7 @@
 
 std::optional<room_answer> room_ledger::Find(const state& engine,
                                              const room_request& request) {
-  const auto is_same = [&](const auto& other) {
-    return other.holder == request.holder && other.number == request.number;
-  };
+  const auto is_same = IsOf(request.holder, request.number);
   if (std::any_of(engine.grants.begin(), engine.grants.end(), is_same)) {
     return room_answer::kGranted;
   }
@@ -80,15 +88,12 @@
   if (found == engines_.end()) return;
   auto& state = found->second;
   if (outcome.refused) state.refusals.push_back(clock_.now());
+  const auto has_ended = IsOf(holder, number);
   for (auto it = state.queue.begin(); it != state.queue.end();) {
-    const auto& request = it->second.request;
-    const bool ended = request.holder == holder && request.number == number;
-    it = ended ? state.queue.erase(it) : std::next(it);
+    it = has_ended(it->second.request) ? state.queue.erase(it) : std::next(it);
   }
-  const auto grant = std::find_if(
-      state.grants.begin(), state.grants.end(), [&](const auto& entry) {
-        return entry.holder == holder && entry.number == number;
-      });
+  const auto grant =
+      std::find_if(state.grants.begin(), state.grants.end(), has_ended);
   if (grant == state.grants.end()) return;
   if (outcome.load) {
     const auto beyond =
