tests: share what several of them wrote again

The checks stay; waiting_callers also checks the number of connections for the server that stops to accept.

--- a/packages/gateway/tests/connection_end_test.cpp
+++ b/packages/gateway/tests/connection_end_test.cpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "limited_server.h"
+#include "test_answers.h"
 
 namespace bluebell::gateway {
 namespace {
@@ -30,15 +31,9 @@
             timer.async_wait(yield[ignored]);
             if (sink.caller_disconnected()) return;
           }
-          http_response answer;
-          answer.status = 200;
-          sink.SendResponse(answer, yield);
+          AnswerOk(request, sink, yield);
         },
-        [](auto code, const auto&) {
-          http_response answer;
-          answer.status = Describe(code).http_status;
-          return answer;
-        });
+        AnswerProblem);
     ASSERT_TRUE(listening);
     server_ = std::move(*listening);
     server_->OnConnectionEnd([this](const connection_status& last) {
--- a/packages/gateway/tests/connection_room_test.cpp
+++ b/packages/gateway/tests/connection_room_test.cpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "limited_server.h"
+#include "test_answers.h"
 
 namespace bluebell::gateway {
 namespace {
@@ -37,74 +38,62 @@
   EXPECT_TRUE(server.running());
 }
 
+/// A server whose callers have opened connections and sent nothing yet.
+class waiting_callers : public testing::Test {
+ protected:
+  void Connect(const http_limits& limits) {
+    auto listening = http_server::Listen(io_, "127.0.0.1:0", limits, AnswerOk,
+                                         AnswerProblem);
+    ASSERT_TRUE(listening);
+    server_ = std::move(*listening);
+    for (int i = 0; i < kConnections; ++i) {
+      callers_.push_back(std::make_unique<blocking_caller>(server_->port()));
+    }
+    io_.run_for(milliseconds(100));
+    ASSERT_EQ(server_->open_connections(), std::size_t{kConnections});
+  }
+  ~waiting_callers() override {
+    server_.reset();
+    RunFor(milliseconds(500));
+  }
+  /// Each caller sends a request, which the server finds when it runs again
+  /// after `pause`. Expects that all are served.
+  void ExpectServedAfter(milliseconds pause) {
+    for (const auto& caller : callers_) caller->Send(kPlainRequest);
+    std::this_thread::sleep_for(pause);
+    RunFor(milliseconds(200));
+    int served = 0;
+    for (const auto& caller : callers_) {
+      if (caller->ReadStatus(milliseconds(200)) == 200) ++served;
+    }
+    EXPECT_EQ(served, kConnections);
+  }
+  void RunFor(milliseconds span) {
+    io_.restart();
+    io_.run_for(span);
+  }
+
+  static constexpr int kConnections = 20;
+
+  boost::asio::io_context io_;
+  std::unique_ptr<http_server> server_;
+  std::vector<std::unique_ptr<blocking_caller>> callers_;
+};
+
 // Guards against a request that is dropped because it arrives, unread, when the
 // time-out of its idle connection ends.
-TEST(connection_room, RequestThatMeetsTheIdleTimeoutIsServed) {
-  constexpr int kConnections = 20;
+TEST_F(waiting_callers, RequestThatMeetsTheIdleTimeoutIsServed) {
   http_limits limits;
   limits.idle_timeout = milliseconds(300);
-  boost::asio::io_context io;
-  auto server = http_server::Listen(
-      io, "127.0.0.1:0", limits,
-      [](const auto&, auto& sink, auto yield) {
-        http_response answer;
-        answer.status = 200;
-        sink.SendResponse(answer, yield);
-      },
-      [](auto, const auto&) { return http_response(); });
-  ASSERT_TRUE(server);
-  std::vector<std::unique_ptr<blocking_caller>> callers;
-  for (int i = 0; i < kConnections; ++i) {
-    callers.push_back(std::make_unique<blocking_caller>((*server)->port()));
-  }
-  io.run_for(milliseconds(100));
-  ASSERT_EQ((*server)->open_connections(), std::size_t{kConnections});
-  for (const auto& caller : callers) caller->Send(kPlainRequest);
-  // The server does not run while the time-out ends.
-  std::this_thread::sleep_for(milliseconds(400));
-  io.restart();
-  io.run_for(milliseconds(200));
-  int served = 0;
-  for (const auto& caller : callers) {
-    if (caller->ReadStatus(milliseconds(200)) == 200) ++served;
-  }
-  EXPECT_EQ(served, kConnections);
-  server->reset();
-  io.restart();
-  io.run_for(milliseconds(500));
+  ASSERT_NO_FATAL_FAILURE(Connect(limits));
+  ExpectServedAfter(milliseconds(400));
 }
 
 // The same for a server that stops to accept.
-TEST(connection_room, RequestThatMeetsTheEndOfAcceptingIsServed) {
-  constexpr int kConnections = 20;
-  boost::asio::io_context io;
-  auto server = http_server::Listen(
-      io, "127.0.0.1:0", {},
-      [](const auto&, auto& sink, auto yield) {
-        http_response answer;
-        answer.status = 200;
-        sink.SendResponse(answer, yield);
-      },
-      [](auto, const auto&) { return http_response(); });
-  ASSERT_TRUE(server);
-  std::vector<std::unique_ptr<blocking_caller>> callers;
-  for (int i = 0; i < kConnections; ++i) {
-    callers.push_back(std::make_unique<blocking_caller>((*server)->port()));
-  }
-  io.run_for(milliseconds(100));
-  (*server)->StopAccepting(milliseconds(100));
-  for (const auto& caller : callers) caller->Send(kPlainRequest);
-  std::this_thread::sleep_for(milliseconds(200));
-  io.restart();
-  io.run_for(milliseconds(200));
-  int served = 0;
-  for (const auto& caller : callers) {
-    if (caller->ReadStatus(milliseconds(200)) == 200) ++served;
-  }
-  EXPECT_EQ(served, kConnections);
-  server->reset();
-  io.restart();
-  io.run_for(milliseconds(500));
+TEST_F(waiting_callers, RequestThatMeetsTheEndOfAcceptingIsServed) {
+  ASSERT_NO_FATAL_FAILURE(Connect({}));
+  server_->StopAccepting(milliseconds(100));
+  ExpectServedAfter(milliseconds(200));
 }
 
 }  // namespace
--- a/packages/gateway/tests/http_server_test.cpp
+++ b/packages/gateway/tests/http_server_test.cpp
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "gateway/network.h"
+#include "test_answers.h"
 
 namespace bluebell::gateway {
 namespace {
@@ -26,14 +27,8 @@
 // without another request.
 TEST(http_server, StopAcceptingClosesIdleConnections) {
   asio::io_context io;
-  auto server = http_server::Listen(
-      io, "127.0.0.1:0", {},
-      [](const auto&, auto& sink, auto yield) {
-        http_response answer;
-        answer.status = 200;
-        sink.SendResponse(answer, yield);
-      },
-      [](auto, const auto&) { return http_response(); });
+  auto server =
+      http_server::Listen(io, "127.0.0.1:0", {}, AnswerOk, AnswerProblem);
   ASSERT_TRUE(server);
   asio::ip::tcp::socket caller(io);
   caller.connect({asio::ip::address_v4::loopback(), (*server)->port()});
@@ -253,11 +248,7 @@
           timer.async_wait(yield[ignored]);
           Answer(200, sink, yield);
         },
-        [](auto code, const auto&) {
-          http_response answer;
-          answer.status = Describe(code).http_status;
-          return answer;
-        });
+        AnswerProblem);
     ASSERT_TRUE(listening);
     server_ = std::move(*listening);
   }
--- a/packages/gateway/tests/limited_server.cpp
+++ b/packages/gateway/tests/limited_server.cpp
@@ -11,6 +11,8 @@
 #include <fstream>
 #include <stdexcept>
 
+#include "test_answers.h"
+
 namespace bluebell::gateway {
 namespace {
 
@@ -21,19 +23,13 @@
   asio::io_context io;
   auto server = http_server::Listen(
       io, "127.0.0.1:0", limits,
-      [&io, delay](const auto&, auto& sink, auto yield) {
+      [&io, delay](const auto& request, auto& sink, auto yield) {
         asio::steady_timer timer(io, delay);
         boost::system::error_code ignored;
         timer.async_wait(yield[ignored]);
-        http_response answer;
-        answer.status = 200;
-        sink.SendResponse(answer, yield);
+        AnswerOk(request, sink, yield);
       },
-      [](auto code, const auto&) {
-        http_response answer;
-        answer.status = Describe(code).http_status;
-        return answer;
-      });
+      AnswerProblem);
   if (!server) return;
   const std::uint16_t port = (*server)->port();
   if (write(port_pipe, &port, sizeof port) != sizeof port) return;
