--- a/packages/edge/relayed_request.h
+++ b/packages/edge/relayed_request.h
@@ -192,6 +192,8 @@
   static constexpr milliseconds kRetryNow{0};
   // Minimum time until models, adapters or engines may be available again.
   static constexpr milliseconds kMinRetryDelay{250};
+  // Covers one read of the configuration and one retry.
+  static constexpr milliseconds kMaxConfigWait{300};
   // Interval at which an adapter is requested again from the placement lease
   // holder.
   static constexpr milliseconds kAdapterRequestInterval{100};
