--- a/review/lab2.py
+++ b/review/lab2.py
@@ -325,7 +325,7 @@
         self.store_server = await asyncio.start_server(
             lambda *ends: store.serve(self, *ends), "127.0.0.1", 0)
         store_port = self.store_server.sockets[0].getsockname()[1]
-        for engine in self.lab.engines:
+        for engine in self.lab.engines if self.lab.uses_relays else ():
             relay = Relay(lambda engine=engine: ("127.0.0.1", engine.port))
             self.relays[engine.id] = relay
             store.addresses[(self, engine.id)] = f"127.0.0.1:{relay.port}"
@@ -418,6 +418,8 @@
         self.store = Store()
         self.engines, self.hosts, self.processes = [], [], []
         self.models = []
+        # Without relays an engine that has crashed refuses connections.
+        self.uses_relays = True
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
             self.role = tomllib.load(file)["roles"]["entry-host"]
