--- a/review/lab2.py
+++ b/review/lab2.py
@@ -276,9 +276,10 @@
                         {"Content-Type": "application/json"},
                         json.dumps(self.report()).encode()))
                 elif first.startswith("POST /order"):
+                    status = self.carry_out(body)
                     self.lab.record.note("order", engine=self.id,
-                                         body=body.decode())
-                    writer.write(message("HTTP/1.1 409 Busy", {}))
+                                         status=status, body=body.decode())
+                    writer.write(message(f"HTTP/1.1 {status} X", {}))
                 elif fields.get("x-expect-instance", self.id) != self.id:
                     writer.write(message(
                         "HTTP/1.1 421 Other",
@@ -293,6 +294,11 @@
             self.writers.discard(writer)
             writer.close()
 
+    def carry_out(self, body):
+        """Returns the status of an order; 409 while another one is carried
+        out."""
+        return 409
+
     def report(self):
         return {"stage": "colocated", "models": self.lab.models,
                 "busy": False, "seq": 1, "queued": 0, "active": 0,
@@ -311,8 +317,8 @@
 class Host:
     """One entry host on its own ports."""
 
-    def __init__(self, lab, number, name=None):
-        self.lab, self.number = lab, number
+    def __init__(self, lab, number, name=None, ip="127.0.0.1"):
+        self.lab, self.number, self.ip = lab, number, ip
         self.name = name or f"edge-{ZONES[number % 3]}-{number // 3 + 1}"
         self.zone = ZONES[number % len(ZONES)]
         self.ports = [free_port() for _ in range(5)]
@@ -329,12 +335,12 @@
             relay = Relay(lambda engine=engine: ("127.0.0.1", engine.port))
             self.relays[engine.id] = relay
             store.addresses[(self, engine.id)] = f"127.0.0.1:{relay.port}"
-        values = {"node_name": self.name, "zone": self.zone, "ip": "127.0.0.1",
+        values = {"node_name": self.name, "zone": self.zone, "ip": self.ip,
                   "limits.cpu_share": 0.25, "limits.memory_mb": 260,
                   "platform.address": f"127.0.0.1:{store_port}",
-                  "listen.front": f"127.0.0.1:{self.ports[0]}",
-                  "listen.ready": f"127.0.0.1:{self.ports[1]}",
-                  "listen.directory": f"127.0.0.1:{self.ports[2]}",
+                  "listen.front": f"{self.ip}:{self.ports[0]}",
+                  "listen.ready": f"{self.ip}:{self.ports[1]}",
+                  "listen.directory": f"{self.ip}:{self.ports[2]}",
                   "internal_ports.0": self.ports[3],
                   "internal_ports.1": self.ports[4],
                   **{f"bounds.{name}": value
@@ -377,7 +383,7 @@
     async def is_ready(self):
         try:
             reader, writer = await asyncio.wait_for(
-                asyncio.open_connection("127.0.0.1", self.ports[1]), 1)
+                asyncio.open_connection(self.ip, self.ports[1]), 1)
         except (OSError, asyncio.TimeoutError):
             return False
         try:
