--- a/review/lab2.py
+++ b/review/lab2.py
@@ -321,7 +321,7 @@
         self.lab, self.number, self.ip = lab, number, ip
         self.name = name or f"edge-{ZONES[number % 3]}-{number // 3 + 1}"
         self.zone = ZONES[number % len(ZONES)]
-        self.ports = [free_port() for _ in range(5)]
+        self.ports = [next(lab.ports) for _ in range(5)]
         self.front = self.ports[0]
         self.process = None
         self.relays = {}
@@ -396,23 +396,25 @@
             writer.close()
 
 
-def free_port():
-    """A port that is free for TCP and UDP."""
-    while True:
-        port = random.randrange(20000, 32000)
+def free_ports():
+    """Ports that are free for TCP and UDP, below those of the tests. The first
+    port of a block is kept, so that runs beside each other differ."""
+    size = 200
+    for block in random.sample(range(11000, 19000, size), 8000 // size):
+        kept = socket.socket()
         try:
-            with socket.socket() as tcp, \
-                    socket.socket(type=socket.SOCK_DGRAM) as udp:
-                tcp.bind(("127.0.0.1", port))
-                udp.bind(("127.0.0.1", port))
+            kept.bind(("127.0.0.1", block))
         except OSError:
             continue
-        if port not in free_port.given:
-            free_port.given.add(port)
-            return port
-
-
-free_port.given = set()
+        for port in range(block + 1, block + size):
+            try:
+                with socket.socket() as tcp, \
+                        socket.socket(type=socket.SOCK_DGRAM) as udp:
+                    tcp.bind(("127.0.0.1", port))
+                    udp.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            yield port
 
 
 class Lab:
@@ -422,6 +424,7 @@
         self.record = Record(os.path.join(case_folder, "record.txt"))
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.store = Store()
+        self.ports = free_ports()
         self.engines, self.hosts, self.processes = [], [], []
         self.models = []
         # Without relays an engine that has crashed refuses connections.
