--- a/review/lab2.py
+++ b/review/lab2.py
@@ -397,24 +397,30 @@
 
 
 def free_ports():
-    """Ports that are free for TCP and UDP, below those of the tests. The first
-    port of a block is kept, so that runs beside each other differ."""
-    size = 200
-    for block in random.sample(range(11000, 19000, size), 8000 // size):
-        kept = socket.socket()
+    """Ports that are free for TCP and UDP, from a block that no other run and
+    no test uses: as in packages/standins/test_address.cpp, who listens on the
+    first port of a block has it."""
+    first, size, blocks = 10000, 400, 55
+    guard = socket.socket()
+    for block in random.sample(range(blocks), blocks):
         try:
-            kept.bind(("127.0.0.1", block))
+            guard.bind(("127.0.0.1", first + block * size))
+            guard.listen(1)
+            break
+        except OSError:
+            guard.close()
+            guard = socket.socket()
+    else:
+        raise RuntimeError("no block of ports is free")
+    for port in range(guard.getsockname()[1] + 1, first + (block + 1) * size):
+        try:
+            with socket.socket() as tcp, \
+                    socket.socket(type=socket.SOCK_DGRAM) as udp:
+                tcp.bind(("127.0.0.1", port))
+                udp.bind(("127.0.0.1", port))
         except OSError:
             continue
-        for port in range(block + 1, block + size):
-            try:
-                with socket.socket() as tcp, \
-                        socket.socket(type=socket.SOCK_DGRAM) as udp:
-                    tcp.bind(("127.0.0.1", port))
-                    udp.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            yield port
+        yield port
 
 
 class Lab:
