Passed-on streams keep to the version that the first host names

Callers got streams with events of two software versions: a host sent a resumable stream to an engine of a new version, lost its engines before the first event, and passed the request on.

Ruled out: a wrong order of two stored starts (the second host stores none at the base version), and an overtaken start in a host's memory (the take-ups named the store as their source).

The call between the hosts now names the version, and each later send of the attempt keeps to it, at the second host, at a third one, and at the first once its engines are back. Storing the second start as well was rejected: starts of one attempt in batches of two hosts have no order.

A host of an older build passes over the new field and sends none; requests that it passes on are served as before.

--- a/packages/edge/forwarded_call.cpp
+++ b/packages/edge/forwarded_call.cpp
@@ -12,6 +12,7 @@
 constexpr char kAccountField[] = "Entry-Account";
 constexpr char kServiceField[] = "Entry-Service";
 constexpr char kConfigField[] = "Entry-Config";
+constexpr char kSoftwareField[] = "Entry-Software";
 constexpr char kNotRunField[] = "Entry-Not-Run";
 
 }  // namespace
@@ -22,6 +23,9 @@
   fields.Add(kAccountField, call.account.value());
   fields.Add(kServiceField, call.service.value());
   fields.Add(kConfigField, std::to_string(call.config_version));
+  if (!call.software.value().empty()) {
+    fields.Add(kSoftwareField, call.software.value());
+  }
 }
 
 std::optional<forwarded_call> ReadForwardedCall(
@@ -30,6 +34,7 @@
   call.from = host_id(fields.Find(kFromField));
   call.account = account_id(fields.Find(kAccountField));
   call.service = serving::service_id(fields.Find(kServiceField));
+  call.software = software_version(fields.Find(kSoftwareField));
   const auto text = fields.Find(kConfigField);
   const auto [rest, failure] = std::from_chars(
       text.data(), text.data() + text.size(), call.config_version);
--- a/packages/edge/forwarded_call.h
+++ b/packages/edge/forwarded_call.h
@@ -20,6 +20,9 @@
   serving::service_id service;
   /// Configuration by which it was decided.
   std::uint64_t config_version = 0;
+  /// Software version at which a resumable stream has to begin or go on. Empty
+  /// for other requests, and if a build that names none passed it on.
+  software_version software = software_version();
 };
 
 /// Adds the fields that carry `call` from one host to another.
--- a/packages/edge/relayed_request.h
+++ b/packages/edge/relayed_request.h
@@ -129,6 +129,9 @@
   // Passes the request on while this host reaches no engine. Returns false if
   // the request has ended.
   bool Forward();
+  // Decides at which version the stream begins at other hosts. Returns false if
+  // that is not known.
+  bool FixStreamVersion();
   http_request ForwardedRequest(const engine_call& call) const;
   engine_answer ReadForwardedAnswer(const http_response& head);
   // Whether the engine still answers on an idle connection.
@@ -151,6 +154,8 @@
     return forwarding_to_.value().empty() && route_->resumable &&
            caller_.last_event.empty() && !sink_.started();
   }
+  // Versions of the engines that the next send may go to.
+  std::set<software_version> AllowedVersions() const;
   // Records at which version the stream begins, before it is sent there.
   void RecordStart();
   // Waits until the start is stored. Returns false if it could not be stored.
@@ -241,8 +246,14 @@
   std::string last_event_;
   /// Software of the engine that brought the first event.
   software_version began_at_;
-  /// Ticket of the stored start (`stream_versions`); none if it needs none.
+  /// Ticket of the stored start (`stream_versions`), none if it needs none, and
+  /// the version in it.
   std::optional<std::uint64_t> start_ticket_;
+  software_version recorded_at_;
+  /// The only version at which the stream may begin, at this host and others.
+  /// Set once the stream is passed on: each host stores where it begins, and
+  /// stored starts of one attempt at different hosts have no order.
+  std::optional<software_version> fixed_version_;
 
   clock::time_point first_sent_at_;
   std::optional<clock::time_point> first_forwarded_at_;
--- a/packages/edge/request_forward.cpp
+++ b/packages/edge/request_forward.cpp
@@ -71,12 +71,40 @@
   return result;
 }
 
+bool relayed_request::FixStreamVersion() {
+  if (!route_->resumable || !began_at_.value().empty() || fixed_version_) {
+    return true;
+  }
+  if (start_ticket_) {
+    // Of the starts that this host recorded for the attempt, the last counts.
+    if (!AwaitStartStored()) return false;
+    fixed_version_ = recorded_at_;
+    return true;
+  }
+  const auto wait_until = received_at_ + kMaxConfigWait;
+  auto allowed = host_.versions.AllowedForNew(requirements_.service);
+  while (allowed.empty()) {
+    const auto now = host_.time.now();
+    if (IsInterrupted() || now >= wait_until) return false;
+    host_.changed.Wait(wait_until - now, yield_);
+    allowed = host_.versions.AllowedForNew(requirements_.service);
+  }
+  // By the engines that other hosts can be expected to choose.
+  requirements_.software = allowed;
+  const auto choice = host_.fleet.Choose(requirements_, MaxSlotWait(), tried_);
+  const auto* engine = host_.fleet.Find(choice.engine);
+  fixed_version_ =
+      engine == nullptr ? *allowed.begin() : engine->record.software;
+  return true;
+}
+
 http_request relayed_request::ForwardedRequest(const engine_call& call) const {
   auto request =
       WithoutForwardedCall(host_.dialect.EngineRequest(received_, call));
   WriteForwardedCall(
       {host_.settings.id, account_ == nullptr ? account_id() : account_->id,
-       requirements_.service, config_->version},
+       requirements_.service, config_->version,
+       fixed_version_.value_or(began_at_)},
       request.fields);
   return request;
 }
@@ -114,9 +142,16 @@
   }
   requirements_.service = forwarded_->service;
   SetRequirements();
-  if (route_->resumable && !caller_.last_event.empty() &&
-      !FindStreamVersion()) {
-    return false;
+  if (route_->resumable) {
+    const auto& fixed = forwarded_->software;
+    const bool goes_on = !caller_.last_event.empty();
+    if (goes_on && fixed.value().empty()) {
+      if (!FindStreamVersion()) return false;
+    } else if (goes_on) {
+      began_at_ = fixed;
+    } else if (!fixed.value().empty()) {
+      fixed_version_ = fixed;
+    }
   }
   fingerprint_ = Fingerprint();
   if (host_.crashes.IsQuarantined(fingerprint_) ||
--- a/packages/edge/request_relay.cpp
+++ b/packages/edge/request_relay.cpp
@@ -69,6 +69,14 @@
 }
 
 bool relayed_request::Forward() {
+  if (ForwardTarget() != nullptr && !FixStreamVersion()) {
+    if (may_have_run_) {
+      Fail(502, "version_unknown");
+    } else {
+      Refuse(503, "version_unknown", RetryDelay());
+    }
+    return false;
+  }
   while (const auto* peer = ForwardTarget()) {
     const auto result =
         ForwardTo(peer->newest.host, peer->newest.forward_address);
@@ -208,11 +216,7 @@
   }
   std::vector<endpoint_id> without_room;
   while (true) {
-    if (route_->resumable) {
-      requirements_.software =
-          BeginsStream() ? host_.versions.AllowedForNew(requirements_.service)
-                         : std::set<software_version>{began_at_};
-    }
+    if (route_->resumable) requirements_.software = AllowedVersions();
     auto choice = host_.fleet.Choose(requirements_, MaxSlotWait(), excluded);
     const bool none_left = choice.status != choice_status::kChosen ||
                            without_room.size() >= kMaxRoomRequests;
@@ -250,6 +254,14 @@
   }
 }
 
+std::set<software_version> relayed_request::AllowedVersions() const {
+  if (!BeginsStream()) return {began_at_};
+  auto allowed = host_.versions.AllowedForNew(requirements_.service);
+  if (!fixed_version_) return allowed;
+  if (allowed.count(*fixed_version_) == 0) return {};
+  return {*fixed_version_};
+}
+
 bool relayed_request::TakeRoom(const endpoint_id& engine,
                                clock::duration wait) {
   room_.reset();
--- a/packages/edge/request_send.cpp
+++ b/packages/edge/request_send.cpp
@@ -404,6 +404,7 @@
   start_ticket_ = host_.versions.RecordStart(
       requirements_.service, {StreamKey(caller_.id), engine_software_},
       start_ticket_.has_value());
+  recorded_at_ = engine_software_;
   if (start_ticket_) host_.versions_changed.Notify();
 }
 
@@ -413,7 +414,6 @@
     if (IsInterrupted() || host_.time.now() >= wait_until) return false;
     host_.versions_changed.Wait(wait_until - host_.time.now(), yield_);
   }
-  host_.versions.OnBegun({StreamKey(caller_.id), engine_software_});
   return true;
 }
 
@@ -454,8 +454,11 @@
       continue;
     }
     if (!sink_.started()) {
-      if (BeginsStream() && !AwaitStartStored()) {
-        return break_off("the start of the stream was not stored");
+      if (BeginsStream()) {
+        if (!AwaitStartStored()) {
+          return break_off("the start of the stream was not stored");
+        }
+        host_.versions.OnBegun({StreamKey(caller_.id), engine_software_});
       }
       RecordFirstAnswer();
       if (forwarding_to_.value().empty()) began_at_ = engine_software_;
