Requests whose body has no certain end are rejected

The parser takes such a request for one without a body and leaves its rejection to the server (RFC 9112, 6.3).

Each request with Transfer-Encoding other than `chunked`, once, in HTTP/1.1, is now answered 400 and its connection closes, before 100 Continue and before a body is read. The check stands where the head was read, in http_server, so that it holds for all listeners. It states the one framing that is accepted instead of a list of codings that are not.

--- a/packages/gateway/http_server.cpp
+++ b/packages/gateway/http_server.cpp
@@ -22,6 +22,7 @@
 #include "gateway/network.h"
 #include "gateway/read_deadline.h"
 #include "gateway/read_error.h"
+#include "gateway/request_framing.h"
 #include "gateway/socket_input.h"
 #include "gateway/task_stack.h"
 
@@ -86,6 +87,14 @@
 
 using request_parser = http::request_parser<http::string_body>;
 
+http_fields ToFields(const http::fields& read) {
+  http_fields fields;
+  for (const auto& field : read) {
+    fields.Add(std::string(field.name_string()), std::string(field.value()));
+  }
+  return fields;
+}
+
 http_request ToRequest(http::request<http::string_body>&& message) {
   http_request request;
   request.method = std::string(message.method_string());
@@ -93,10 +102,7 @@
   const std::size_t mark = target.find('?');
   request.path = target.substr(0, mark);
   if (mark != std::string::npos) request.query = target.substr(mark + 1);
-  for (const auto& field : message) {
-    request.fields.Add(std::string(field.name_string()),
-                       std::string(field.value()));
-  }
+  request.fields = ToFields(message);
   request.body = std::move(message.body());
   return request;
 }
@@ -325,6 +331,12 @@
       if (ec) return deadline.Translate(ec);
     }
     if (!Hold(0)) return NoMemory();
+    // Before a body is asked for. The parser takes a request with a coding
+    // that it does not know for one without a body.
+    if (!IsBodyDelimited(ToFields(parser.get()),
+                         parser.get().version() == kHttp11)) {
+      return http::error::bad_transfer_encoding;
+    }
     if (EqualsIgnoringCase(std::string(parser.get()[http::field::expect]),
                            "100-continue")) {
       SendContinue(yield);
@@ -527,6 +539,7 @@
     connection_status& status_;
   };
 
+  static constexpr unsigned kHttp11 = 11;
   static constexpr std::size_t kReadBytes = 4096;
   static constexpr std::size_t kLingerBytes = 4 * 1024 * 1024;
   static constexpr std::chrono::seconds kLingerTime{1};
