Requests that crash engines are found by crashes, not by losses

The quarantine of requests counted each request that an engine had when it crashed and added up what the hosts had lost, so that one crash with three alike requests was enough; and an answer counted against it only if its request was sent after the last crash, when none was sent any more.

Ruled out: a part that is not found (four engines crashed in all, and the part was refused). Not enough by itself: counting each crash once, since a request that is sent 40 times a second is at each engine that crashes.

The quarantine now keeps evidence like that of prompt parts: crashes by engine and moment, merged over all hosts, which an answer to an alike request refutes if that was sent at the same time or later. Engines that are lost together get time for such answers, and a soon trial. A request whose answer an engine had survived is not suspected. Hosts pass on what others found, so that a restarted host learns what it had counted.

Hosts of older builds get counts for refused requests and refutations for the others; their own counts are read as crashes of unknown engines.

--- a/packages/edge/digest_exchange.cpp
+++ b/packages/edge/digest_exchange.cpp
@@ -224,14 +224,15 @@
   } else {
     host_.quota.OnStopped(digest->host);
   }
-  for (const auto& [fingerprint, crashes] : digest->crashes) {
-    host_.crashes.OnNotice(digest->host, digest->incarnation, fingerprint,
-                           crashes);
-  }
-  for (const auto& [fingerprint, crashes] : digest->refuted_crashes) {
-    host_.crashes.OnRefuted(fingerprint, crashes);
-  }
   const auto late = host_.directory.Lateness(*digest);
+  host_.crashes.OnEvidence(digest->requests, late);
+  // A host that reports evidence sends counts only with it.
+  if (digest->requests.empty()) {
+    for (const auto& [fingerprint, crashes] : digest->crashes) {
+      host_.crashes.OnCount(digest->host, digest->incarnation, fingerprint,
+                            crashes);
+    }
+  }
   host_.parts.OnEvidence(digest->parts, late);
   for (const auto& notice : digest->limits) {
     OnLimitNotice(host_, digest->host.value(), notice, late);
@@ -478,8 +479,9 @@
   digest.quota_age_ms =
       std::chrono::duration_cast<milliseconds>(host_.quota.Age()).count();
   if (notices) digest.notices = notices();
-  digest.crashes = host_.crashes.OwnCrashes();
-  digest.refuted_crashes = host_.crashes.Refuted();
+  digest.requests = host_.crashes.TakeEvidence();
+  digest.crashes = host_.crashes.CountsOf(digest.requests);
+  digest.refuted_crashes = host_.crashes.RefutedCounts();
   digest.parts = host_.parts.Evidence();
   for (auto& notice : host_.limits.Notices()) {
     if (host_.fleet.Find(notice.engine) == nullptr) continue;
--- a/packages/edge/request_send.cpp
+++ b/packages/edge/request_send.cpp
@@ -59,7 +59,8 @@
   endpoint_id engine;
   std::string address;
   std::string fingerprint;
-  /// Parts of its prompt; empty if the engine had survived its answer.
+  /// Parts of its prompt. Empty, like the fingerprint, if the engine had
+  /// survived its answer.
   std::vector<prompt_part_id> parts;
   clock::time_point sent_at;
   clock::time_point lost_at;
@@ -126,7 +127,7 @@
       caller_.id,
       last_engine_,
       engine_address_,
-      fingerprint_,
+      engine_survived_ ? std::string() : fingerprint_,
       engine_survived_ ? std::vector<prompt_part_id>() : caller_.shared_parts,
       sent_at_,
       host_.time.now(),
@@ -136,7 +137,8 @@
                                                  kCrashProbeTimeout, yield);
     if (listener != gateway::listener_state::kRefusing) return;
     if (!ReachesAnother(host, lost.engine, yield)) return;
-    host.crashes.OnCrash(lost.fingerprint);
+    host.crashes.OnCrash(lost.fingerprint, lost.engine, lost.sent_at,
+                         lost.lost_at);
     host.parts.OnCrash(lost.parts, lost.engine, lost.sent_at, lost.lost_at);
     host.log.Write("engine_crashed", {{"engine", lost.engine.value()},
                                       {"address", lost.address},
--- a/packages/serving/host_digest.cpp
+++ b/packages/serving/host_digest.cpp
@@ -126,34 +126,39 @@
   return report;
 }
 
-json EncodePart(const part_evidence& evidence) {
+// Evidence on a suspect: a prompt part or a request.
+json EncodeEvidence(const std::string& suspect,
+                    const std::vector<reported_crash>& reported,
+                    const std::optional<clock::duration>& answered_age) {
   json crashes = json::array();
-  for (const auto& seen : evidence.crashes) {
+  for (const auto& seen : reported) {
     crashes.push_back(
         json::array({seen.engine.value(), ToMilliseconds(seen.age),
                      ToMilliseconds(seen.sent_age)}));
   }
-  json row = json::array({evidence.part.value(), std::move(crashes)});
-  if (evidence.answered_age) {
-    row.push_back(ToMilliseconds(*evidence.answered_age));
-  }
+  json row = json::array({suspect, std::move(crashes)});
+  if (answered_age) row.push_back(ToMilliseconds(*answered_age));
   return row;
 }
 
-part_evidence DecodePart(const json& row) {
+std::string DecodeSuspect(const json& row) {
+  return row.at(0).get<std::string>();
+}
+
+std::vector<reported_crash> DecodeCrashes(const json& row) {
   using std::chrono::milliseconds;
-  part_evidence evidence;
-  evidence.part = prompt_part_id(row.at(0).get<std::string>());
+  std::vector<reported_crash> crashes;
   for (const auto& seen : row.at(1)) {
-    evidence.crashes.push_back(
-        {endpoint_id(seen.at(0).get<std::string>()),
-         milliseconds(ReadInteger<std::int64_t>(seen.at(1))),
-         milliseconds(ReadInteger<std::int64_t>(seen.at(2)))});
+    crashes.push_back({endpoint_id(seen.at(0).get<std::string>()),
+                       milliseconds(ReadInteger<std::int64_t>(seen.at(1))),
+                       milliseconds(ReadInteger<std::int64_t>(seen.at(2)))});
   }
-  if (row.size() > 2) {
-    evidence.answered_age = milliseconds(ReadInteger<std::int64_t>(row.at(2)));
-  }
-  return evidence;
+  return crashes;
+}
+
+std::optional<clock::duration> DecodeAnsweredAge(const json& row) {
+  if (row.size() <= 2) return std::nullopt;
+  return std::chrono::milliseconds(ReadInteger<std::int64_t>(row.at(2)));
 }
 
 // The age of the naming is rounded up, that of the end down, so that a state
@@ -193,6 +198,13 @@
       notices.push_back(EncodeNotice(notice));
     }
   }
+  if (!digest.requests.empty()) {
+    json& requests = out["requests"] = json::array();
+    for (const auto& entry : digest.requests) {
+      requests.push_back(
+          EncodeEvidence(entry.fingerprint, entry.crashes, entry.answered_age));
+    }
+  }
   if (!digest.crashes.empty()) out["crashes"] = digest.crashes;
   if (!digest.refuted_crashes.empty()) {
     out["refuted"] = digest.refuted_crashes;
@@ -211,7 +223,10 @@
   }
   if (!digest.parts.empty()) {
     json& parts = out["parts"] = json::array();
-    for (const auto& entry : digest.parts) parts.push_back(EncodePart(entry));
+    for (const auto& entry : digest.parts) {
+      parts.push_back(EncodeEvidence(entry.part.value(), entry.crashes,
+                                     entry.answered_age));
+    }
   }
 }
 
@@ -297,6 +312,12 @@
         digest.notices.push_back(DecodeNotice(row));
       }
     }
+    if (in.contains("requests")) {
+      for (const auto& row : in["requests"]) {
+        digest.requests.push_back(
+            {DecodeSuspect(row), DecodeCrashes(row), DecodeAnsweredAge(row)});
+      }
+    }
     if (in.contains("crashes")) {
       digest.crashes = ReadCounts(in["crashes"]);
     }
@@ -315,7 +336,8 @@
     }
     if (in.contains("parts")) {
       for (const auto& row : in["parts"]) {
-        digest.parts.push_back(DecodePart(row));
+        digest.parts.push_back({prompt_part_id(DecodeSuspect(row)),
+                                DecodeCrashes(row), DecodeAnsweredAge(row)});
       }
     }
     return digest;
--- a/packages/serving/host_digest.h
+++ b/packages/serving/host_digest.h
@@ -13,6 +13,7 @@
 #include "serving/engine_fleet.h"
 #include "serving/engine_limits.h"
 #include "serving/part_quarantine.h"
+#include "serving/request_quarantine.h"
 #include "serving/shared_quota.h"
 #include "serving/store_contact.h"
 
@@ -76,9 +77,12 @@
   std::vector<adapter_request> adapter_requests;
   /// Only in digests from the placement lease holder.
   std::vector<residency_notice> notices;
-  /// Crashes of endpoints seen by this host, by fingerprint of the request.
+  /// Requests that may crash engines.
+  std::vector<request_evidence> requests;
+  /// The same for builds that read no evidence, and from them: requests that
+  /// were lost in crashes, by fingerprint, and how many of them an answer has
+  /// refuted.
   std::map<std::string, int> crashes;
-  /// Of all hosts' crashes, those that an answer has refuted.
   std::map<std::string, int> refuted_crashes;
   /// Rate limits of engines that are known to this host.
   std::vector<limit_notice> limits;
--- a/packages/serving/part_quarantine.h
+++ b/packages/serving/part_quarantine.h
@@ -8,22 +8,16 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
+#include "serving/crash_evidence.h"
 
 namespace bluebell::serving {
 
 /// What a host reports to the others about one prompt part. Times are ages, as
 /// the clocks of hosts differ.
 struct part_evidence {
-  struct crash {
-    /// Empty for a part that was restored.
-    endpoint_id engine;
-    clock::duration age{0};
-    /// Time since the request with the part was sent to the engine.
-    clock::duration sent_age{0};
-  };
-
   prompt_part_id part;
-  std::vector<crash> crashes;
+  /// The engine is empty for a part that was restored.
+  std::vector<reported_crash> crashes;
   /// Time since the newest send of a request with the part that was answered;
   /// none if there is none.
   std::optional<clock::duration> answered_age;
--- a/packages/serving/request_quarantine.cpp
+++ b/packages/serving/request_quarantine.cpp
@@ -1,60 +1,38 @@
 #include "serving/request_quarantine.h"
 
 #include <algorithm>
+#include <set>
 #include <tuple>
 #include <utility>
-#include <vector>
 
 namespace bluebell::serving {
 
-void request_quarantine::OnCrash(const std::string& fingerprint) {
+void request_quarantine::OnCrash(const std::string& fingerprint,
+                                 const endpoint_id& engine,
+                                 clock::time_point sent_at,
+                                 clock::time_point crashed_at) {
   if (fingerprint.empty()) return;
-  ++OnCounted(fingerprint).own;
-}
-
-void request_quarantine::OnNotice(const host_id& host,
-                                  const std::string& incarnation,
-                                  const std::string& fingerprint, int crashes) {
-  if (fingerprint.empty() || crashes <= 0) return;
-  const auto process = host.value() + "/" + incarnation;
-  const auto found = records_.find(fingerprint);
-  if (found != records_.end()) {
-    const auto known = found->second.by_process.find(process);
-    if (known != found->second.by_process.end() && known->second >= crashes) {
-      return;
-    }
-  }
-  OnCounted(fingerprint).by_process[process] = crashes;
+  auto& entry = Touch(fingerprint);
+  AddCrash(entry, {engine, crashed_at, sent_at});
+  entry.trial_until = {};
 }
 
 void request_quarantine::OnAnswered(const std::string& fingerprint,
                                     clock::time_point sent_at) {
   const auto found = records_.find(fingerprint);
-  if (found == records_.end() || sent_at <= found->second.last_crash) return;
-  OnRefuted(fingerprint, Sum(found->second));
-}
-
-void request_quarantine::OnRefuted(const std::string& fingerprint,
-                                   int crashes) {
-  const auto found = records_.find(fingerprint);
   if (found == records_.end()) return;
-  // The other host may know of crashes that this one does not.
-  crashes = std::min(crashes, Sum(found->second));
-  if (found->second.refuted >= crashes) return;
-  found->second.refuted = crashes;
-  found->second.refuted_at = clock_.now();
+  SetAnswered(found->second, sent_at);
 }
 
 request_quarantine::verdict request_quarantine::Admit(
     const std::string& fingerprint, int rank) {
   const auto found = records_.find(fingerprint);
-  if (found == records_.end() || !IsQuarantined(fingerprint)) {
+  if (found == records_.end() || !IsQuarantined(found->second)) {
     return verdict::kAllowed;
   }
   auto& entry = found->second;
   const auto now = clock_.now();
-  const bool is_due =
-      now - entry.last_crash >= TrialInterval(entry) * (1 + rank);
+  const bool is_due = now - entry.learned_at >= TrialDelay(entry, rank);
   if (!is_due || now < entry.trial_until) return verdict::kRefused;
   entry.trial_until = now + kTrialTime;
   return verdict::kTrial;
@@ -62,86 +40,227 @@
 
 bool request_quarantine::IsQuarantined(const std::string& fingerprint) const {
   const auto found = records_.find(fingerprint);
-  return found != records_.end() && Crashes(found->second) >= kCrashLimit;
+  return found != records_.end() && IsQuarantined(found->second);
 }
 
-std::map<std::string, int> request_quarantine::OwnCrashes() const {
-  std::map<std::string, int> crashes;
-  std::vector<std::pair<clock::time_point, const std::string*>> refused;
-  for (const auto& [fingerprint, entry] : records_) {
-    if (entry.own == 0) continue;
-    if (clock_.now() - entry.last_crash < kRetention) {
-      crashes[fingerprint] = entry.own;
-    } else if (Crashes(entry) >= kCrashLimit) {
-      refused.emplace_back(entry.last_crash, &fingerprint);
+std::vector<request_evidence> request_quarantine::TakeEvidence() {
+  const auto now = clock_.now();
+  using entry_iterator = std::map<std::string, record>::const_iterator;
+  std::vector<entry_iterator> newest;
+  std::vector<entry_iterator> refused;
+  for (auto it = records_.cbegin(); it != records_.cend(); ++it) {
+    const auto& entry = it->second;
+    const bool answered = entry.answered && now - *entry.answered < kNoticeTime;
+    if (answered || now - entry.crashes.back().at < kRetention) {
+      newest.push_back(it);
+    } else if (IsQuarantined(entry)) {
+      refused.push_back(it);
     }
   }
-  std::sort(refused.rbegin(), refused.rend());
-  if (refused.size() > kMaxReported) refused.resize(kMaxReported);
-  for (const auto& [last, fingerprint] : refused) {
-    crashes[*fingerprint] = records_.at(*fingerprint).own;
+  // Many requests are in flight at an engine that crashes; those at several
+  // crashes go first.
+  const auto kept = std::min(newest.size(), kMaxNewest);
+  const auto middle = newest.begin() + static_cast<std::ptrdiff_t>(kept);
+  std::partial_sort(
+      newest.begin(), middle, newest.end(), [](const auto& a, const auto& b) {
+        const auto rank = [](const record& entry) {
+          return std::make_tuple(Series(entry).size(), entry.crashes.size(),
+                                 entry.crashes.back().at);
+        };
+        return rank(a->second) > rank(b->second);
+      });
+  std::vector<request_evidence> evidence;
+  for (auto it = newest.begin(); it != middle; ++it) {
+    evidence.push_back(Report((*it)->first, (*it)->second));
   }
-  return crashes;
+  const auto next = std::find_if(
+      refused.begin(), refused.end(),
+      [this](const auto& it) { return it->first > last_in_turn_; });
+  std::rotate(refused.begin(), next, refused.end());
+  if (refused.size() > kMaxInTurn) refused.resize(kMaxInTurn);
+  for (const auto& it : refused) {
+    evidence.push_back(Report(it->first, it->second));
+    last_in_turn_ = it->first;
+  }
+  return evidence;
 }
 
-std::map<std::string, int> request_quarantine::Refuted() const {
+void request_quarantine::OnEvidence(
+    const std::vector<request_evidence>& reported, clock::duration lateness) {
+  const auto sent = clock_.now() - lateness;
+  for (const auto& report : reported) {
+    if (report.fingerprint.empty() || report.crashes.empty()) continue;
+    auto& entry = Touch(report.fingerprint);
+    for (const auto& seen : report.crashes) {
+      AddCrash(entry, {seen.engine, sent - seen.age, sent - seen.sent_age});
+    }
+    if (report.answered_age) SetAnswered(entry, sent - *report.answered_age);
+  }
+}
+
+void request_quarantine::OnCount(const host_id& host,
+                                 const std::string& incarnation,
+                                 const std::string& fingerprint, int crashes) {
+  if (fingerprint.empty() || crashes <= 0) return;
+  const auto process = host.value() + "/" + incarnation;
+  const auto found = records_.find(fingerprint);
+  const bool known = found != records_.end() &&
+                     found->second.counts.count(process) > 0 &&
+                     found->second.counts.at(process) >= crashes;
+  if (known) return;
+  const auto now = clock_.now();
+  auto& entry = Touch(fingerprint);
+  int& counted = entry.counts[process];
+  // The engines are not known; any of the crashes may be another one.
+  const int first = std::max(counted, crashes - kCrashLimit);
+  counted = crashes;
+  for (int number = first + 1; number <= crashes; ++number) {
+    AddCrash(entry,
+             {endpoint_id(process + "/" + std::to_string(number)), now, now});
+  }
+}
+
+std::map<std::string, int> request_quarantine::CountsOf(
+    const std::vector<request_evidence>& evidence) const {
+  std::map<std::string, int> counts;
+  for (const auto& report : evidence) {
+    if (IsQuarantined(report.fingerprint)) {
+      counts[report.fingerprint] = kCrashLimit;
+    }
+  }
+  return counts;
+}
+
+std::map<std::string, int> request_quarantine::RefutedCounts() const {
   std::map<std::string, int> refuted;
   for (const auto& [fingerprint, entry] : records_) {
-    if (entry.refuted > 0 && clock_.now() - entry.refuted_at < kNoticeTime) {
-      refuted[fingerprint] = entry.refuted;
+    if (refuted.size() >= kMaxNewest) break;
+    if (!entry.answered || !Series(entry).empty()) continue;
+    if (clock_.now() - *entry.answered < kNoticeTime) {
+      refuted[fingerprint] = kAllCounts;
     }
   }
   return refuted;
 }
 
-int request_quarantine::Sum(const record& entry) {
-  int crashes = entry.own;
-  for (const auto& [process, count] : entry.by_process) crashes += count;
-  return crashes;
+void request_quarantine::AddCrash(record& entry, crash added) const {
+  auto& crashes = entry.crashes;
+  for (auto& known : crashes) {
+    const auto apart =
+        known.at < added.at ? added.at - known.at : known.at - added.at;
+    if (known.engine != added.engine || apart >= kSameCrash) continue;
+    known.sent_at = std::max(known.sent_at, added.sent_at);
+    return;
+  }
+  const auto after = std::upper_bound(
+      crashes.begin(), crashes.end(), added,
+      [](const crash& a, const crash& b) { return a.at < b.at; });
+  // One that was dropped for its number may be reported again.
+  if (crashes.empty() || added.at - crashes.back().at >= kSameMoment) {
+    entry.learned_at = clock_.now();
+  }
+  crashes.insert(after, std::move(added));
+  if (crashes.size() <= kMaxCrashes) return;
+  const auto refuted =
+      std::find_if(crashes.begin(), crashes.end(),
+                   [&](const crash& seen) { return IsRefuted(entry, seen); });
+  // The first crashes prove the refusal, the last ones set the next trial.
+  crashes.erase(refuted != crashes.end() ? refuted
+                                         : crashes.begin() + kCrashLimit);
+}
+
+bool request_quarantine::IsRefuted(const record& entry, const crash& seen) {
+  return entry.answered && seen.sent_at <= *entry.answered;
 }
 
-int request_quarantine::Crashes(const record& entry) {
-  return Sum(entry) - entry.refuted;
+void request_quarantine::SetAnswered(record& entry, clock::time_point sent_at) {
+  entry.answered = std::max(entry.answered.value_or(sent_at), sent_at);
+}
+
+std::vector<request_quarantine::crash> request_quarantine::Series(
+    const record& entry) {
+  std::vector<crash> series;
+  for (const auto& seen : entry.crashes) {
+    if (IsRefuted(entry, seen)) continue;
+    const bool related =
+        series.empty() || seen.at - series.back().at < kRetention;
+    if (!related && series.size() < kCrashLimit) series.clear();
+    series.push_back(seen);
+  }
+  return series;
+}
+
+int request_quarantine::Moments(const std::vector<crash>& series) {
+  int moments = series.empty() ? 0 : 1;
+  for (std::size_t i = 1; i < series.size(); ++i) {
+    if (series[i].at - series[i - 1].at >= kSameMoment) ++moments;
+  }
+  return moments;
+}
+
+bool request_quarantine::IsQuarantined(const record& entry) const {
+  const auto series = Series(entry);
+  if (series.size() < kCrashLimit) return false;
+  return Moments(series) >= kCrashLimit ||
+         clock_.now() - series.back().at >= kAnswerTime;
 }
 
 bool request_quarantine::IsExpired(const record& entry) const {
-  return Crashes(entry) < kCrashLimit &&
-         clock_.now() - entry.last_crash >= kRetention + kNoticeTime;
+  return clock_.now() - entry.crashes.back().at >= kRetention + kNoticeTime &&
+         !IsQuarantined(entry);
+}
+
+int request_quarantine::FailedTrials(const std::vector<crash>& series) {
+  const auto later =
+      std::find_if(series.begin(), series.end(), [&series](const crash& seen) {
+        return seen.at - series[kCrashLimit - 1].at >= kEarlierRequests;
+      });
+  return Moments({later, series.end()});
 }
 
-clock::duration request_quarantine::TrialInterval(const record& entry) const {
-  clock::duration interval = kRetention;
-  for (int n = Crashes(entry) - kCrashLimit;
-       n > 0 && interval < kMaxTrialInterval; --n) {
+clock::duration request_quarantine::TrialDelay(const record& entry, int rank) {
+  const auto series = Series(entry);
+  const bool together =
+      Moments({series.begin(), series.begin() + kCrashLimit}) == 1;
+  int failed = FailedTrials(series);
+  if (together && failed == 0 && rank == 0) return kTrialIntervalOfMoment;
+  if (together && failed > 0) --failed;
+  clock::duration interval =
+      entry.answered ? kTrialIntervalOfAnswered : kRetention;
+  for (; failed > 0 && interval < kMaxTrialInterval; --failed) {
     interval *= kTrialIntervalGrowth;
   }
-  return std::min<clock::duration>(interval, kMaxTrialInterval);
+  return std::min<clock::duration>(interval, kMaxTrialInterval) * (1 + rank);
 }
 
-// Returns the record of `fingerprint` for another crash.
-request_quarantine::record& request_quarantine::OnCounted(
-    const std::string& fingerprint) {
+request_evidence request_quarantine::Report(const std::string& fingerprint,
+                                            const record& entry) const {
   const auto now = clock_.now();
+  request_evidence report{fingerprint, {}, std::nullopt};
+  for (const auto& seen : entry.crashes) {
+    report.crashes.push_back({seen.engine, now - seen.at, now - seen.sent_at});
+  }
+  if (entry.answered) report.answered_age = now - *entry.answered;
+  return report;
+}
+
+request_quarantine::record& request_quarantine::Touch(
+    const std::string& fingerprint) {
+  const auto found = records_.find(fingerprint);
+  if (found != records_.end()) return found->second;
   for (auto it = records_.begin(); it != records_.end();) {
     it = IsExpired(it->second) ? records_.erase(it) : std::next(it);
   }
-  if (records_.size() >= kMaxRecords && records_.count(fingerprint) == 0) {
-    const auto rank = [](const record& entry) {
-      return std::make_tuple(Crashes(entry) >= kCrashLimit, entry.last_crash);
+  if (records_.size() >= kMaxRecords) {
+    const auto rank = [this](const record& entry) {
+      return std::make_tuple(IsQuarantined(entry), entry.crashes.back().at);
     };
     records_.erase(std::min_element(records_.begin(), records_.end(),
                                     [&](const auto& a, const auto& b) {
                                       return rank(a.second) < rank(b.second);
                                     }));
   }
-  record& entry = records_[fingerprint];
-  // Too few crashes that are too old count no more.
-  if (Crashes(entry) < kCrashLimit && now - entry.last_crash >= kRetention) {
-    entry.refuted = Sum(entry);
-  }
-  entry.last_crash = now;
-  entry.trial_until = {};
-  return entry;
+  return records_[fingerprint];
 }
 
 }  // namespace bluebell::serving
--- a/packages/serving/tests/host_digest_test.cpp
+++ b/packages/serving/tests/host_digest_test.cpp
@@ -31,6 +31,30 @@
   EXPECT_EQ(decoded->parts[1].answered_age, milliseconds(5));
 }
 
+// Guards against evidence on requests that is lost or changed between two
+// hosts.
+TEST(host_digest, KeepsEvidenceOnRequests) {
+  host_digest digest;
+  digest.host = host_id("h");
+  digest.incarnation = "1";
+  digest.requests = {
+      {"f1",
+       {{endpoint_id("e1"), milliseconds(200), milliseconds(230)}},
+       milliseconds(5)},
+      {"f2", {{endpoint_id("e2"), milliseconds(1), milliseconds(2)}}, {}}};
+  const auto decoded = DecodeDigest(EncodeDigest(digest));
+  ASSERT_TRUE(decoded) << decoded.error().detail;
+  ASSERT_EQ(decoded->requests.size(), 2U);
+  const auto& first = decoded->requests[0];
+  EXPECT_EQ(first.fingerprint, "f1");
+  ASSERT_EQ(first.crashes.size(), 1U);
+  EXPECT_EQ(first.crashes[0].engine, endpoint_id("e1"));
+  EXPECT_EQ(first.crashes[0].age, milliseconds(200));
+  EXPECT_EQ(first.crashes[0].sent_age, milliseconds(230));
+  EXPECT_EQ(first.answered_age, milliseconds(5));
+  EXPECT_FALSE(decoded->requests[1].answered_age);
+}
+
 // Guards against a cold period that does not reach the other hosts.
 TEST(host_digest, KeepsColdPeriods) {
   host_digest digest;
