Trailer fields of a request are dropped

A request in chunks with its key in the trailer was admitted, and trailer fields reached the engine among the header fields: the parser adds them to the head, and the request was built after its body had been read. It is now built from the head as soon as that is read. Whether the connection stays open is decided by the head, too.

Nothing of this is exchanged between hosts.

framing_fixture.TrailerFieldsAreDropped failed before: 200 for a key in the trailer.

--- a/packages/gateway/http_server.cpp
+++ b/packages/gateway/http_server.cpp
@@ -87,24 +87,30 @@
 
 using request_parser = http::request_parser<http::string_body>;
 
-http_fields ToFields(const http::fields& read) {
-  http_fields fields;
-  for (const auto& field : read) {
-    fields.Add(std::string(field.name_string()), std::string(field.value()));
-  }
-  return fields;
-}
-
-http_request ToRequest(http::request<http::string_body>&& message) {
+// A request and whether the caller keeps the connection open after it.
+struct received_request {
   http_request request;
+  bool keep_alive = false;
+};
+
+// Moves the head of a request out of the parser, which adds trailer fields to
+// the header fields that it holds: nobody asks for them, and a field that
+// routes or identifies a request counts in the head only.
+received_request TakeHead(http::request<http::string_body>& message) {
+  received_request received;
+  received.keep_alive = message.keep_alive();
+  http_request& request = received.request;
   request.method = std::string(message.method_string());
   const std::string target(message.target());
   const std::size_t mark = target.find('?');
   request.path = target.substr(0, mark);
   if (mark != std::string::npos) request.query = target.substr(mark + 1);
-  request.fields = ToFields(message);
-  request.body = std::move(message.body());
-  return request;
+  for (const auto& field : message) {
+    request.fields.Add(std::string(field.name_string()),
+                       std::string(field.value()));
+  }
+  message.clear();
+  return received;
 }
 
 // One accepted connection.
@@ -291,7 +297,8 @@
     // Bounds what the parser cannot consume yet, also within a body.
     buffer_.max_size(std::max<std::size_t>(
         buffer_.size(), state_->limits.max_header_bytes + kReadBytes));
-    const io_error ec = Read(*parser, yield);
+    received_request received;
+    const io_error ec = Read(*parser, received, yield);
     if (ended_) return false;
     if (ec) {
       const bool head_read = parser->is_header_done();
@@ -303,10 +310,11 @@
     }
 
     const bool keep_alive =
-        parser->get().keep_alive() && !state_->close_after_responses;
+        received.keep_alive && !state_->close_after_responses;
     bool reusable = false;
     {
-      http_request request = ToRequest(parser->release());
+      http_request& request = received.request;
+      request.body = std::move(parser->get().body());
       io_error unknown;
       const auto remote = stream_.socket().remote_endpoint(unknown);
       if (!unknown) request.remote_host = remote.address().to_string();
@@ -318,7 +326,8 @@
     return reusable;
   }
 
-  io_error Read(request_parser& parser, asio::yield_context yield) {
+  io_error Read(request_parser& parser, received_request& received,
+                asio::yield_context yield) {
     io_error ec;
     status_.phase = connection_phase::kReading;
     stream_.expires_never();
@@ -331,14 +340,14 @@
       if (ec) return deadline.Translate(ec);
     }
     if (!Hold(0)) return NoMemory();
+    received = TakeHead(parser.get());
+    const auto& fields = received.request.fields;
     // Before a body is asked for. The parser takes a request with a coding
     // that it does not know for one without a body.
-    if (!IsBodyDelimited(ToFields(parser.get()),
-                         parser.get().version() == kHttp11)) {
+    if (!IsBodyDelimited(fields, parser.get().version() == kHttp11)) {
       return http::error::bad_transfer_encoding;
     }
-    if (EqualsIgnoringCase(std::string(parser.get()[http::field::expect]),
-                           "100-continue")) {
+    if (EqualsIgnoringCase(fields.Find("Expect"), "100-continue")) {
       SendContinue(yield);
     }
     read_deadline deadline(stream_.socket(), state_->limits.body_timeout);
