Answers in an unknown transfer coding count as lost

An engine's answer with a transfer coding other than chunks reached the caller coded, without the field that names the coding: it was framed by its connection and that field is one of the hop. Such an answer now ends its connection like one that is cut off: the request is sent again where the route allows it, else the caller gets 502.

framing_fixture.AnswerInAnUnknownCodingReachesNobody failed before (200 with the coded bytes). The rule is that for requests, so request_framing becomes transfer_coding.

--- a/packages/gateway/endpoint_connection.cpp
+++ b/packages/gateway/endpoint_connection.cpp
@@ -11,6 +11,7 @@
 
 #include "base/address.h"
 #include "gateway/network.h"
+#include "gateway/transfer_coding.h"
 
 namespace bluebell::gateway {
 namespace {
@@ -20,6 +21,7 @@
 namespace http = beast::http;
 using io_error = boost::system::error_code;
 
+constexpr unsigned kHttp11 = 11;
 constexpr std::size_t kReadBytes = 4 * 1024;
 constexpr std::uint32_t kMaxHeadBytes = 64 * 1024;
 
@@ -196,6 +198,10 @@
     head.fields.Add(std::string(field.name_string()),
                     std::string(field.value()));
   }
+  if (!IsCodingKnown(head.fields, state_->parser->get().version() == kHttp11)) {
+    Close();
+    return Fail(error_code::kOutcomeUnknown, "unknown transfer coding");
+  }
   return head;
 }
 
--- a/packages/gateway/http_server.cpp
+++ b/packages/gateway/http_server.cpp
@@ -22,9 +22,9 @@
 #include "gateway/network.h"
 #include "gateway/read_deadline.h"
 #include "gateway/read_error.h"
-#include "gateway/request_framing.h"
 #include "gateway/socket_input.h"
 #include "gateway/task_stack.h"
+#include "gateway/transfer_coding.h"
 
 namespace bluebell::gateway {
 namespace {
@@ -344,7 +344,7 @@
     const auto& fields = received.request.fields;
     // Before a body is asked for. The parser takes a request with a coding
     // that it does not know for one without a body.
-    if (!IsBodyDelimited(fields, parser.get().version() == kHttp11)) {
+    if (!IsCodingKnown(fields, parser.get().version() == kHttp11)) {
       return http::error::bad_transfer_encoding;
     }
     if (EqualsIgnoringCase(fields.Find("Expect"), "100-continue")) {
--- a/packages/gateway/request_framing.cpp
+++ b/packages/gateway/transfer_coding.cpp
@@ -1,4 +1,4 @@
-#include "gateway/request_framing.h"
+#include "gateway/transfer_coding.h"
 
 #include <string_view>
 
@@ -14,7 +14,7 @@
 
 }  // namespace
 
-bool IsBodyDelimited(const http_fields& fields, bool is_http_1_1) {
+bool IsCodingKnown(const http_fields& fields, bool is_http_1_1) {
   constexpr std::string_view kTransferEncoding = "Transfer-Encoding";
   const auto count = fields.Count(kTransferEncoding);
   if (count == 0) return true;
