Events are passed on once the process that wrote them is known

Ruled out: a wrong stored start (the take-ups found the old version), and connections that outlive the crash.

A connection leads to the process that ran when it was opened. Events of a resumable stream of a plain endpoint now wait until the records were read after that, if the service has several versions or the endpoint has accepted no connection lately; if the record has changed, the send counts as lost. Without the store streams go on as before, except at an endpoint that has accepted no connection since the last read. Waiting in every case was tried and reverted: versioned_relay.BrokenStreamGoesOnAtItsVersion shows that a stream which breaks off without a crash would not go on without the store.

--- a/packages/edge/engine_connections.cpp
+++ b/packages/edge/engine_connections.cpp
@@ -4,6 +4,12 @@
 #include <utility>
 
 namespace bluebell::edge {
+namespace {
+
+// Records of engines are read again long before, unless the store is away.
+constexpr std::chrono::seconds kNotAcceptedRetention{60};
+
+}  // namespace
 
 result<engine_connections::lease> engine_connections::Take(
     const endpoint_id& engine, const std::string& address,
@@ -16,8 +22,8 @@
     idle.pop_back();
     if (now < candidate.expires && now - candidate.since <= max_idle &&
         candidate.connection->open_and_idle()) {
-      return lease{std::move(candidate.connection), true,
-                   now - candidate.since};
+      return lease{std::move(candidate.connection), true, now - candidate.since,
+                   candidate.opened_at};
     }
     // The remaining connections have been idle for even longer.
     if (now - candidate.since > max_idle) break;
@@ -31,18 +37,29 @@
   auto opened =
       gateway::endpoint_connection::Connect(context_, address, timeout, yield);
   if (!opened) return tl::unexpected(opened.error());
-  return lease{std::move(*opened), false, clock::duration(0)};
+  return lease{std::move(*opened), false, clock::duration(0), clock_.now()};
 }
 
 void engine_connections::Return(const endpoint_id& engine, lease used,
                                 clock::duration lifetime) {
   if (!used.connection->reusable()) return;
   const auto now = clock_.now();
-  idle_[engine].push_back({std::move(used.connection), now, now + lifetime});
+  idle_[engine].push_back(
+      {std::move(used.connection), now, now + lifetime, used.opened_at});
+}
+
+bool engine_connections::WasNotAcceptedSince(const endpoint_id& engine,
+                                             clock::time_point since) const {
+  const auto found = not_accepted_.find(engine);
+  return found != not_accepted_.end() && found->second >= since;
 }
 
 void engine_connections::CloseExpired() {
   const auto now = clock_.now();
+  for (auto it = not_accepted_.begin(); it != not_accepted_.end();) {
+    it = now - it->second > kNotAcceptedRetention ? not_accepted_.erase(it)
+                                                  : std::next(it);
+  }
   for (auto& [engine, idle] : idle_) {
     idle.erase(std::remove_if(idle.begin(), idle.end(),
                               [now](const idle_connection& entry) {
--- a/packages/edge/engine_connections.h
+++ b/packages/edge/engine_connections.h
@@ -24,6 +24,8 @@
     bool reused = false;
     /// Time since the last request.
     clock::duration idle{0};
+    /// When it was opened; it leads to the process that ran then.
+    clock::time_point opened_at;
   };
 
   engine_connections(boost::asio::io_context& context, const clock& source)
@@ -45,6 +47,12 @@
   /// Returns a connection to the pool if it is reusable. The endpoint closes it
   /// after `lifetime` without a request.
   void Return(const endpoint_id& engine, lease used, clock::duration lifetime);
+  /// An endpoint accepted no connection: its process may have ended.
+  void OnNotAccepted(const endpoint_id& engine) {
+    not_accepted_[engine] = clock_.now();
+  }
+  bool WasNotAcceptedSince(const endpoint_id& engine,
+                           clock::time_point since) const;
   /// Closes the idle connections to an endpoint.
   void CloseIdle(const endpoint_id& engine) { idle_.erase(engine); }
   /// Closes connections whose idle lifetime has expired.
@@ -55,11 +63,14 @@
     std::unique_ptr<gateway::endpoint_connection> connection;
     clock::time_point since;
     clock::time_point expires;
+    clock::time_point opened_at;
   };
 
   boost::asio::io_context& context_;
   const clock& clock_;
   std::map<endpoint_id, std::vector<idle_connection>> idle_;
+  // When each endpoint accepted no connection last; dropped after a while.
+  std::map<endpoint_id, clock::time_point> not_accepted_;
 };
 
 }  // namespace bluebell::edge
--- a/packages/edge/engine_records.cpp
+++ b/packages/edge/engine_records.cpp
@@ -28,6 +28,7 @@
     const std::string& source, clock::time_point read_at) {
   ReadCold(records, read_at);
   view_.Apply(version, std::move(records), kept);
+  OnRead(read_at);
   PublishVersions(read_at);
   Publish(source, read_at);
 }
--- a/packages/edge/engine_records.h
+++ b/packages/edge/engine_records.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -34,6 +35,9 @@
         changed_(changed) {}
 
   const serving::store_version& version() const { return view_.version(); }
+  /// The records in effect were those of the store at this time; none before
+  /// the first ones.
+  std::optional<clock::time_point> read_at() const { return read_at_; }
   /// `engine_view::Apply`. `source`: "store", or the host that was followed;
   /// `read_at`: when it read the records.
   void Apply(const serving::store_version& version,
@@ -44,6 +48,7 @@
   void Confirm(const serving::store_version& version,
                clock::time_point read_at) {
     view_.Confirm(version);
+    OnRead(read_at);
     versions_.OnConfirmed(read_at);
   }
   /// The time for which a process stays cold, as its record stated at
@@ -65,6 +70,9 @@
                    const serving::engine_statement& statement);
 
  private:
+  void OnRead(clock::time_point read_at) {
+    read_at_ = std::max(read_at_.value_or(read_at), read_at);
+  }
   void ReadCold(const std::vector<serving::engine_record>& records,
                 clock::time_point read_at);
   // Tells which versions of each service are listed.
@@ -78,6 +86,7 @@
   serving::stream_versions& versions_;
   change_signal& changed_;
   serving::engine_view view_;
+  std::optional<clock::time_point> read_at_;
   /// Whether each engine is leaving, as published last.
   std::map<endpoint_id, bool> leaving_;
   /// Records that state a cold time above 0 or an unusable one, as read last.
--- a/packages/edge/relayed_request.h
+++ b/packages/edge/relayed_request.h
@@ -154,6 +154,10 @@
     return forwarding_to_.value().empty() && route_->resumable &&
            caller_.last_event.empty() && !sink_.started();
   }
+  // Waits until the record of the engine is known to be that of the process
+  // which a connection opened at `opened_at` leads to: it may have started
+  // again under its id at another version. Returns false if it is not.
+  bool AwaitProcessKnown(const endpoint_id& id, clock::time_point opened_at);
   // Versions of the engines that the next send may go to.
   std::set<software_version> AllowedVersions() const;
   // Records at which version the stream begins, before it is sent there.
--- a/packages/edge/request_send.cpp
+++ b/packages/edge/request_send.cpp
@@ -34,6 +34,12 @@
 constexpr double kSlowAnswerFraction = 0.6;
 // Covers one write of the store that is answered late, and one retry.
 constexpr milliseconds kMaxStartWait{1000};
+// An endpoint that starts writes its record within this time.
+constexpr milliseconds kRecordDelay{250};
+// Covers the reading of the records by another host, and one retry.
+constexpr milliseconds kMaxRecordWait{1500};
+// Interval at which the age of the records is checked.
+constexpr milliseconds kRecordInterval{50};
 // Urgency at the engine of the highest priority.
 constexpr int kTopUrgency = 2;
 // A connection is refused within a round trip.
@@ -136,6 +142,7 @@
     const auto listener = gateway::ProbeListener(host.io, lost.address,
                                                  kCrashProbeTimeout, yield);
     if (listener != gateway::listener_state::kRefusing) return;
+    host.connections.OnNotAccepted(lost.engine);
     if (!ReachesAnother(host, lost.engine, yield)) return;
     host.crashes.OnCrash(lost.fingerprint, lost.engine, lost.sent_at,
                          lost.lost_at);
@@ -197,6 +204,7 @@
   }
   if (!lease) {
     last_detail_ = lease.error().detail;
+    host_.connections.OnNotAccepted(id);
     host_.reach.OnNotConnected();
     host_.connections.CloseIdle(id);
     host_.fleet.OnEnd(id, {true, std::nullopt, clock::duration(0), {}, {}});
@@ -419,6 +427,41 @@
   return true;
 }
 
+bool relayed_request::AwaitProcessKnown(const endpoint_id& id,
+                                        clock::time_point opened_at) {
+  // A model engine that has started again holds no model, and runs nothing
+  // until it was ordered to load one by its new record.
+  if (!route_->resumable || is_model_) return true;
+  const auto process = [&]() -> std::optional<std::int64_t> {
+    const auto* engine = host_.fleet.Find(id);
+    if (engine == nullptr || engine->record.software != engine_software_) {
+      return std::nullopt;
+    }
+    return engine->record.started_ms;
+  };
+  const auto sent_to = process();
+  const auto was_read = [&] {
+    const auto read_at = host_.records.read_at();
+    return read_at && *read_at >= opened_at + kRecordDelay;
+  };
+  const auto begun = host_.time.now();
+  const auto last_read = host_.records.read_at().value_or(opened_at);
+  const bool had_ended = host_.connections.WasNotAcceptedSince(id, last_read);
+  if (!had_ended && !host_.versions.HasSeveral(requirements_.service)) {
+    return true;
+  }
+  while (sent_to && !was_read()) {
+    if (IsInterrupted()) return false;
+    // Without the store, only its end suggests that the endpoint has started
+    // again. Records that are old already are not waited for.
+    if (host_.time.now() - std::min(begun, last_read) >= kMaxRecordWait) {
+      return !had_ended;
+    }
+    host_.changed.Wait(kRecordInterval, yield_);
+  }
+  return sent_to && process() == sent_to;
+}
+
 send_result relayed_request::RelayStream(const endpoint_id& id,
                                          engine_connections::lease& lease,
                                          const http_response& head,
@@ -430,6 +473,8 @@
     --runs_;  // counted again by OnConnectionLost
     return OnConnectionLost();
   };
+  const bool from_engine = forwarding_to_.value().empty();
+  bool process_known = !from_engine;
   std::string pending;
   while (true) {
     auto part = lease.connection->ReadSome(
@@ -439,7 +484,7 @@
                                                   ? " inside an event"
                                                   : " between events"));
     }
-    if (forwarding_to_.value().empty()) host_.reach.OnContact();
+    if (from_engine) host_.reach.OnContact();
     if (part->empty()) break;
     const auto scanned = pending.size();
     pending += *part;
@@ -455,6 +500,10 @@
       }
       continue;
     }
+    if (!process_known) {
+      process_known = AwaitProcessKnown(id, lease.opened_at);
+      if (!process_known) return break_off("the process is not known");
+    }
     if (!sink_.started()) {
       if (BeginsStream()) {
         if (!AwaitStartStored()) {
@@ -463,7 +512,7 @@
         host_.versions.OnBegun({StreamKey(caller_.id), engine_software_});
       }
       RecordFirstAnswer();
-      if (forwarding_to_.value().empty()) began_at_ = engine_software_;
+      if (from_engine) began_at_ = engine_software_;
       sink_.StartStream({head.status, host_.dialect.CallerFields(head), {}},
                         yield_);
     }
--- a/packages/serving/stream_versions.cpp
+++ b/packages/serving/stream_versions.cpp
@@ -88,6 +88,13 @@
          clock_.now() - observed_since_ > kStreamLifetime + kExpiryMargin;
 }
 
+bool stream_versions::HasSeveral(const service_id& service) const {
+  const auto found = services_.find(service);
+  if (found == services_.end()) return false;
+  const auto& state = found->second;
+  return state.listed.size() > 1 || (state.table && state.table->several);
+}
+
 std::set<software_version> stream_versions::AllowedForNew(
     const service_id& service) const {
   const auto found = services_.find(service);
--- a/packages/serving/stream_versions.h
+++ b/packages/serving/stream_versions.h
@@ -118,6 +118,9 @@
   /// The engines of the last `OnEngines` are also listed as of `as_of`.
   void OnConfirmed(clock::time_point as_of);
 
+  /// Whether engines of several versions serve `service`, or did a short time
+  /// ago.
+  bool HasSeveral(const service_id& service) const;
   /// Versions at which a stream of `service` may begin now.
   std::set<software_version> AllowedForNew(const service_id& service) const;
   /// A stream is about to begin. Returns a ticket for `IsStored`, or none if
