A host that starts has no retry slack for one window

Engines of a service failed and rejected requests while all hosts were killed twice: more arrivals beyond the first than the retry limit allows. Each process granted itself its share of the slack anew.

Ruled out: the part of the limit that grows with requests, which a new process counts from none.

A host that has run for less than one window now retries by the number of its requests alone; later, nothing that an earlier process used is left in the window.

service_retry_budget.FleetStaysWithinLimitOverRestarts failed before.

--- a/packages/serving/service_retry_budget.cpp
+++ b/packages/serving/service_retry_budget.cpp
@@ -14,10 +14,11 @@
   auto& seen = histories_[service];
   Expire(seen.requests);
   Expire(seen.retries);
+  const bool has_slack = clock_.now() - started_ >= limits_.window;
+  const double slack = has_slack ? limits_.slack / std::max(1, hosts) : 0;
   const double allowed =
       kUsedFraction *
-      (limits_.ratio * static_cast<double>(seen.requests.size()) +
-       limits_.slack / std::max(1, hosts));
+      (limits_.ratio * static_cast<double>(seen.requests.size()) + slack);
   if (static_cast<double>(seen.retries.size()) + 1 > allowed) return false;
   seen.retries.push_back(clock_.now());
   return true;
--- a/packages/serving/service_retry_budget.h
+++ b/packages/serving/service_retry_budget.h
@@ -20,11 +20,13 @@
 /// This host's share of the retry limit of each service.
 ///
 /// The ratio applies to the host's own requests, so that the sum over all hosts
-/// stays within the limit; the slack is divided by the number of hosts.
+/// stays within the limit; the slack is divided by the number of hosts. A host
+/// that starts may have used its share of the slack before: it has none for one
+/// window.
 class service_retry_budget {
  public:
   service_retry_budget(const clock& source, retry_limits limits)
-      : clock_(source), limits_(limits) {}
+      : clock_(source), limits_(limits), started_(source.now()) {}
 
   void OnRequest(const service_id& service);
   /// Takes one retry from the budget; false if it is used up. `hosts` is the
@@ -44,6 +46,7 @@
 
   const clock& clock_;
   retry_limits limits_;
+  clock::time_point started_;
   std::map<service_id, history> histories_;
 };
 
