--- a/packages/edge/relayed_request.h
+++ b/packages/edge/relayed_request.h
@@ -132,6 +132,9 @@
   // Decides at which version the stream begins at other hosts. Returns false if
   // that is not known.
   bool FixStreamVersion();
+  // A version at which the stream may begin, by the engines that other hosts
+  // can be expected to choose; none if it may begin at none.
+  std::optional<software_version> ChooseStreamVersion();
   http_request ForwardedRequest(const engine_call& call) const;
   engine_answer ReadForwardedAnswer(const http_response& head);
   // Whether the engine still answers on an idle connection.
--- a/packages/edge/request_forward.cpp
+++ b/packages/edge/request_forward.cpp
@@ -75,27 +75,35 @@
   if (!route_->resumable || !began_at_.value().empty() || fixed_version_) {
     return true;
   }
-  if (start_ticket_) {
-    // Of the starts that this host recorded for the attempt, the last counts.
+  // Of the starts that this host recorded for the attempt, the last counts.
+  const bool recorded = start_ticket_.has_value();
+  if (recorded) {
     if (!AwaitStartStored()) return false;
     fixed_version_ = recorded_at_;
-    return true;
+  } else {
+    fixed_version_ = ChooseStreamVersion();
   }
+  if (!fixed_version_) return false;
+  host_.log.Write("stream_version_fixed",
+                  {{"request", caller_.id.value()},
+                   {"software", fixed_version_->value()},
+                   {"source", recorded ? "recorded" : "chosen"}});
+  return true;
+}
+
+std::optional<software_version> relayed_request::ChooseStreamVersion() {
   const auto wait_until = received_at_ + kMaxConfigWait;
   auto allowed = host_.versions.AllowedForNew(requirements_.service);
   while (allowed.empty()) {
     const auto now = host_.time.now();
-    if (IsInterrupted() || now >= wait_until) return false;
+    if (IsInterrupted() || now >= wait_until) return std::nullopt;
     host_.changed.Wait(wait_until - now, yield_);
     allowed = host_.versions.AllowedForNew(requirements_.service);
   }
-  // By the engines that other hosts can be expected to choose.
   requirements_.software = allowed;
   const auto choice = host_.fleet.Choose(requirements_, MaxSlotWait(), tried_);
   const auto* engine = host_.fleet.Find(choice.engine);
-  fixed_version_ =
-      engine == nullptr ? *allowed.begin() : engine->record.software;
-  return true;
+  return engine == nullptr ? *allowed.begin() : engine->record.software;
 }
 
 http_request relayed_request::ForwardedRequest(const engine_call& call) const {
