The last start of an attempt is stored again after a restoration

A host that had recorded two starts of one attempt, of which a restored store held only the first, took it for stored: it compared attempts, not versions. A take-up elsewhere then went by the first.

restored_versions.LastStartIsStoredAgainAfterARestoration failed before.

--- a/packages/serving/stream_versions.cpp
+++ b/packages/serving/stream_versions.cpp
@@ -302,8 +302,11 @@
   if (restored) {
     DropExpired(own_);
     for (const auto& [attempt, software] : own_.by_attempt) {
-      if (starts_.count(attempt) == 0)
+      // The store may hold only an earlier start of the attempt.
+      const auto stored = starts_.find(attempt);
+      if (stored == starts_.end() || stored->second != software) {
         RecordStart({}, {attempt, software}, true);
+      }
     }
   }
   listed_era_ = listing.era;
--- a/packages/serving/tests/stream_versions_test.cpp
+++ b/packages/serving/tests/stream_versions_test.cpp
@@ -594,6 +594,28 @@
   EXPECT_EQ(Find("a"), Version(2));
 }
 
+// Guards against an earlier start of an attempt that is taken for its last one,
+// because the restored store holds that alone.
+TEST_F(restored_versions, LastStartIsStoredAgainAfterARestoration) {
+  const version_table table{kService, Version(1), true, 1, 4};
+  Start({Version(1), Version(2)}, 4, table);
+  host_.RecordStart(kService, {request_id("a"), Version(2)}, false);
+  const auto first = host_.NextBatch();
+  ASSERT_TRUE(first);
+  host_.OnBatchWritten(7);
+  host_.RecordStart(kService, {request_id("a"), Version(1)}, true);
+  ASSERT_TRUE(host_.NextBatch());
+  host_.OnBatchWritten(8);
+  host_.OnBegun({request_id("a"), Version(1)});
+  auto listing = Listing(5, table);
+  listing.batches.push_back(*first);
+  host_.OnListing(listing, host_.RequestListing());
+  const auto again = host_.NextBatch();
+  ASSERT_TRUE(again);
+  EXPECT_EQ(again->starts.back().attempt, request_id("a"));
+  EXPECT_EQ(again->starts.back().software, Version(1));
+}
+
 // Guards against refused streams of a service that has had one version only.
 TEST_F(restored_versions, OnlyVersionOfAServiceIsKnownSoonAfterwards) {
   const version_table table{kService, Version(1), false, 1, 4};
