Refused requests outlast a restart of all hosts

What hosts tell each other does not help when all of them start at once.

Refused requests that were never answered are now stored like prompt parts, in the same list, under an id that no part can have.

--- a/packages/edge/edge_host.cpp
+++ b/packages/edge/edge_host.cpp
@@ -253,6 +253,10 @@
       state.log.Write("part_quarantined", {{"part", part.value()}});
       quarantine.OnQuarantined(part);
     }
+    for (const auto& request : state.crashes.TakeQuarantined()) {
+      state.log.Write("request_quarantined", {{"fingerprint", request}});
+      quarantine.OnRequestQuarantined(request);
+    }
   }
 }
 
--- a/packages/edge/quarantine_sync.cpp
+++ b/packages/edge/quarantine_sync.cpp
@@ -15,15 +15,57 @@
 // The first hosts of the ranking write.
 constexpr int kWriters = 2;
 constexpr std::size_t kMaxStored = 100;
+// No part has this prefix: callers separate the ids of parts by commas. Builds
+// that store no requests restore it as a part that never comes.
+const std::string kRequestPrefix = "request,";
+
+prompt_part_id StoredRequest(const std::string& fingerprint) {
+  return prompt_part_id(kRequestPrefix + fingerprint);
+}
 
 }  // namespace
 
+void quarantine_sync::OnRequestQuarantined(const std::string& fingerprint) {
+  pending_.insert(StoredRequest(fingerprint));
+}
+
+std::optional<std::string> quarantine_sync::RequestOf(
+    const prompt_part_id& part) {
+  const auto& id = part.value();
+  if (id.compare(0, kRequestPrefix.size(), kRequestPrefix) != 0) {
+    return std::nullopt;
+  }
+  return id.substr(kRequestPrefix.size());
+}
+
+bool quarantine_sync::IsQuarantined(const prompt_part_id& part) const {
+  const auto request = RequestOf(part);
+  return request ? host_.crashes.IsQuarantined(*request)
+                 : host_.parts.IsQuarantined({part});
+}
+
+std::optional<clock::duration> quarantine_sync::UnansweredAge(
+    const prompt_part_id& part) const {
+  const auto request = RequestOf(part);
+  return request ? host_.crashes.UnansweredAge(*request)
+                 : host_.parts.UnansweredAge(part);
+}
+
+bool quarantine_sync::Restore(const prompt_part_id& part, clock::duration age) {
+  const auto request = RequestOf(part);
+  return request ? host_.crashes.Restore(*request, age)
+                 : host_.parts.Restore(part, age);
+}
+
 void quarantine_sync::Run(boost::asio::yield_context yield) {
   auto retry = kFirstRetry;
   while (true) {
     if (listed_ && host_.store_era > era_) {
       listed_ = false;
       for (const auto& part : host_.parts.Quarantined()) pending_.insert(part);
+      for (const auto& request : host_.crashes.Quarantined()) {
+        OnRequestQuarantined(request);
+      }
     }
     DropPending();
     if (listed_ && pending_.empty()) {
@@ -41,7 +83,7 @@
   if (pending_.empty()) return;
   const bool writes = host_.directory.Rank() < kWriters;
   for (auto it = pending_.begin(); it != pending_.end();) {
-    const bool wanted = writes && host_.parts.UnansweredAge(*it).has_value();
+    const bool wanted = writes && UnansweredAge(*it).has_value();
     it = wanted ? std::next(it) : pending_.erase(it);
   }
 }
@@ -56,14 +98,14 @@
   era_ = host_.store.Era();
   std::vector<serving::stored_part> expired;
   for (const auto& entry : *stored) {
-    const bool known = host_.parts.IsQuarantined({entry.part});
+    const bool known = IsQuarantined(entry.part);
     const auto age = host_.time.wall_now() - entry.crashed_at;
-    if (!host_.parts.Restore(entry.part, age)) {
+    if (!Restore(entry.part, age)) {
       expired.push_back(entry);
       continue;
     }
     pending_.erase(entry.part);
-    if (!known && host_.parts.IsQuarantined({entry.part})) {
+    if (!known && IsQuarantined(entry.part)) {
       host_.log.Write("part_restored", {{"part", entry.part.value()},
                                         {"age_ms", MillisecondText(age)}});
     }
@@ -102,7 +144,7 @@
 
 bool quarantine_sync::Write(const prompt_part_id& part,
                             boost::asio::yield_context yield) {
-  const auto age = host_.parts.UnansweredAge(part);
+  const auto age = UnansweredAge(part);
   if (!age) {
     pending_.erase(part);
     return true;
--- a/packages/edge/quarantine_sync.h
+++ b/packages/edge/quarantine_sync.h
@@ -4,13 +4,16 @@
 #include <cstdint>
 #include <optional>
 #include <set>
+#include <string>
 
 #include "edge/edge_state.h"
 
 namespace bluebell::edge {
 
-/// Keeps quarantined prompt parts in the store, since a restart of all hosts
-/// loses what they have learned, and each part would crash engines again.
+/// Keeps quarantined prompt parts and requests in the store, since a restart of
+/// all hosts loses what they have learned, and each of them would crash engines
+/// again. A request is stored like a part, under an id that no part has; what
+/// is said of parts below holds for both.
 ///
 /// Load pattern: a part is quarantined on a few days, at all hosts within a
 /// second. Two hosts write it, so that one may be lost; the one that comes
@@ -28,6 +31,7 @@
 
   /// A part was quarantined by what this host has learned.
   void OnQuarantined(const prompt_part_id& part) { pending_.insert(part); }
+  void OnRequestQuarantined(const std::string& fingerprint);
   /// Restores the stored parts as soon as the store answers, then writes new
   /// ones, until the process ends.
   void Run(boost::asio::yield_context yield);
@@ -38,6 +42,12 @@
   bool Remove(const serving::stored_part& expired,
               boost::asio::yield_context yield);
   bool Write(const prompt_part_id& part, boost::asio::yield_context yield);
+  // The fingerprint of a request that is stored as `part`; none for a part.
+  static std::optional<std::string> RequestOf(const prompt_part_id& part);
+  bool IsQuarantined(const prompt_part_id& part) const;
+  std::optional<clock::duration> UnansweredAge(
+      const prompt_part_id& part) const;
+  bool Restore(const prompt_part_id& part, clock::duration age);
   // Drops pending parts that this host does not have to write.
   void DropPending();
 
--- a/packages/serving/request_quarantine.cpp
+++ b/packages/serving/request_quarantine.cpp
@@ -98,6 +98,52 @@
   }
 }
 
+std::vector<std::string> request_quarantine::TakeQuarantined() {
+  std::vector<std::string> taken;
+  for (auto& [fingerprint, entry] : records_) {
+    const bool refused = IsQuarantined(entry);
+    if (refused && !entry.announced) taken.push_back(fingerprint);
+    entry.announced = refused;
+  }
+  return taken;
+}
+
+std::vector<std::string> request_quarantine::Quarantined() const {
+  std::vector<std::string> refused;
+  for (const auto& [fingerprint, entry] : records_) {
+    if (IsQuarantined(entry)) refused.push_back(fingerprint);
+  }
+  return refused;
+}
+
+std::optional<clock::duration> request_quarantine::UnansweredAge(
+    const std::string& fingerprint) const {
+  const auto found = records_.find(fingerprint);
+  if (found == records_.end() || found->second.answered ||
+      !IsQuarantined(found->second)) {
+    return std::nullopt;
+  }
+  return clock_.now() - found->second.crashes.back().at;
+}
+
+bool request_quarantine::Restore(const std::string& fingerprint,
+                                 clock::duration age) {
+  if (fingerprint.empty() || age >= kStoredTime || age < -kMaxClockError) {
+    return false;
+  }
+  auto& entry = Touch(fingerprint);
+  entry.announced = true;
+  if (IsQuarantined(entry)) return true;
+  // The crashes are not stored; as many as the refusal needs stand for them.
+  const auto newest = clock_.now() - std::max(age, clock::duration(0));
+  for (int number = 1; number <= kCrashLimit; ++number) {
+    const auto at = newest - (kCrashLimit - number) * kSameMoment;
+    AddCrash(entry,
+             {endpoint_id("restored/" + std::to_string(number)), at, at});
+  }
+  return true;
+}
+
 void request_quarantine::OnCount(const host_id& host,
                                  const std::string& incarnation,
                                  const std::string& fingerprint, int crashes) {
--- a/packages/serving/request_quarantine.h
+++ b/packages/serving/request_quarantine.h
@@ -36,7 +36,8 @@
 /// Fewer crashes are forgotten after a while. A refused request is not: single
 /// requests test it at growing intervals, and only an answer ends the refusal.
 /// Hosts merge the evidence of all others, so that a host which has just
-/// started learns what they know.
+/// started learns what they know. What a restart of all hosts would lose is
+/// restored from the store.
 class request_quarantine {
  public:
   /// Number of crashes at which a request is refused.
@@ -71,6 +72,19 @@
   void OnEvidence(const std::vector<request_evidence>& reported,
                   clock::duration lateness = clock::duration(0));
 
+  /// Requests that were refused since the last call, restored ones aside.
+  std::vector<std::string> TakeQuarantined();
+  /// Requests that are refused now.
+  std::vector<std::string> Quarantined() const;
+  /// Time since the newest crash of a refused request, if no answer to an alike
+  /// one is known; none for other requests.
+  std::optional<clock::duration> UnansweredAge(
+      const std::string& fingerprint) const;
+  /// Refuses a request whose newest crash happened `age` ago by the wall clock
+  /// of another process; a negative age counts as 0. Returns false if that is
+  /// too long ago, or `age` is so far below 0 that it cannot be used.
+  bool Restore(const std::string& fingerprint, clock::duration age);
+
   /// Hosts of builds before the evidence count the requests that they lost and
   /// report the counts. Applies the count of one of their processes; repeated
   /// notices change nothing.
@@ -104,6 +118,10 @@
   static constexpr std::chrono::milliseconds kSameMoment{50};
   // Covers an answer's first events and one exchange between hosts.
   static constexpr std::chrono::milliseconds kAnswerTime{900};
+  // A stored request is restored for this long.
+  static constexpr std::chrono::hours kStoredTime{1};
+  // Wall clocks of hosts differ by less.
+  static constexpr std::chrono::seconds kMaxClockError{60};
   // Hosts learn within this time what another has found.
   static constexpr std::chrono::seconds kNoticeTime{30};
   static constexpr std::size_t kMaxCrashes = 8;
@@ -129,6 +147,8 @@
     clock::time_point trial_until;
     /// Counts of processes of builds before the evidence.
     std::map<std::string, int> counts;
+    /// Returned by `TakeQuarantined`, or restored.
+    bool announced = false;
   };
 
   record& Touch(const std::string& fingerprint);
--- a/packages/serving/tests/request_quarantine_test.cpp
+++ b/packages/serving/tests/request_quarantine_test.cpp
@@ -162,6 +162,31 @@
   EXPECT_EQ(hosts_[0]->Admit(kRequest, 0), verdict::kRefused);
 }
 
+// Guards against losing what was learned when all hosts restart, and against a
+// restored refusal that no answer ends.
+TEST_F(request_quarantine_test, RestoredRequestIsRefusedUntilItIsAnswered) {
+  Come();
+  Pass(seconds(1));
+  EXPECT_EQ(hosts_[0]->TakeQuarantined(), std::vector<std::string>{kRequest});
+  EXPECT_TRUE(hosts_[0]->TakeQuarantined().empty());
+  const auto age = hosts_[0]->UnansweredAge(kRequest);
+  ASSERT_TRUE(age);
+  for (auto& host : hosts_) {
+    host = std::make_unique<request_quarantine>(clock_);
+    EXPECT_TRUE(host->Restore(kRequest, *age));
+    EXPECT_TRUE(host->TakeQuarantined().empty());
+    EXPECT_EQ(host->Admit(kRequest, 0), verdict::kRefused);
+  }
+  Pass(seconds(65));
+  ASSERT_EQ(hosts_[0]->Admit(kRequest, 0), verdict::kTrial);
+  hosts_[0]->OnAnswered(kRequest, clock_.now());
+  EXPECT_FALSE(hosts_[0]->UnansweredAge(kRequest));
+  Pass(seconds(1));
+  EXPECT_EQ(hosts_[1]->Admit(kRequest, 1), verdict::kAllowed);
+  EXPECT_FALSE(hosts_[2]->Restore("old", std::chrono::hours(1)));
+  EXPECT_FALSE(hosts_[2]->Restore("future", -std::chrono::hours(1)));
+}
+
 // Guards against one crash that counts once for each alike request that it
 // ends, and once for each host that has lost one.
 TEST_F(request_quarantine_test, OneCrashCountsOnce) {
