--- a/packages/serving/part_quarantine.cpp
+++ b/packages/serving/part_quarantine.cpp
@@ -180,19 +180,9 @@
   }
 }
 
-void part_quarantine::AddCrash(record& entry, crash added) {
+void part_quarantine::AddCrash(record& entry, engine_crash added) {
   auto& crashes = entry.crashes;
-  for (auto& known : crashes) {
-    const auto apart =
-        known.at < added.at ? added.at - known.at : known.at - added.at;
-    if (known.engine != added.engine || apart >= kSameCrash) continue;
-    known.sent_at = std::max(known.sent_at, added.sent_at);
-    return;
-  }
-  const auto after = std::upper_bound(
-      crashes.begin(), crashes.end(), added,
-      [](const crash& a, const crash& b) { return a.at < b.at; });
-  crashes.insert(after, std::move(added));
+  if (!InsertCrash(crashes, std::move(added))) return;
   if (crashes.size() <= kMaxCrashes) return;
   // One of several crashes at the same moment says nothing more.
   for (auto it = std::next(crashes.begin()); it != crashes.end(); ++it) {
--- a/packages/serving/part_quarantine.h
+++ b/packages/serving/part_quarantine.h
@@ -97,8 +97,6 @@
   // Crashes at different engines within this time count once: several engines
   // that are lost together say nothing about a part that is in use at each.
   static constexpr std::chrono::milliseconds kSameMoment{50};
-  // Reports of different hosts about one crash of an engine differ by less.
-  static constexpr std::chrono::milliseconds kSameCrash{1000};
   static constexpr int kCrashLimit = 3;
   static constexpr int kCrashLimitOfAnswered = 5;
   static constexpr std::size_t kMaxCrashes = 8;
@@ -124,15 +122,9 @@
   static constexpr std::size_t kMaxRecords = 10'000;
   static constexpr std::size_t kMaxReported = 16;
 
-  struct crash {
-    /// Empty for a part that was restored.
-    endpoint_id engine;
-    clock::time_point at;
-    clock::time_point sent_at;
-  };
   struct record {
-    /// In order of time.
-    std::vector<crash> crashes;
+    /// In order of time. The engine is empty for a part that was restored.
+    std::vector<engine_crash> crashes;
     std::optional<clock::time_point> answered;
     clock::time_point touched;
     clock::time_point trial_until;
@@ -144,7 +136,7 @@
 
   record& Touch(const prompt_part_id& part);
   void RemoveOld();
-  static void AddCrash(record& entry, crash added);
+  static void AddCrash(record& entry, engine_crash added);
   // Moments at which engines crashed that no later answer refutes.
   int UnrefutedCrashes(const record& entry) const;
   bool IsQuarantined(const record& entry) const;
--- a/packages/serving/request_quarantine.cpp
+++ b/packages/serving/request_quarantine.cpp
@@ -189,33 +189,24 @@
   return refuted;
 }
 
-void request_quarantine::AddCrash(record& entry, crash added) const {
+void request_quarantine::AddCrash(record& entry, engine_crash added) const {
   auto& crashes = entry.crashes;
-  for (auto& known : crashes) {
-    const auto apart =
-        known.at < added.at ? added.at - known.at : known.at - added.at;
-    if (known.engine != added.engine || apart >= kSameCrash) continue;
-    known.sent_at = std::max(known.sent_at, added.sent_at);
-    return;
-  }
-  const auto after = std::upper_bound(
-      crashes.begin(), crashes.end(), added,
-      [](const crash& a, const crash& b) { return a.at < b.at; });
   // One that was dropped for its number may be reported again.
-  if (crashes.empty() || added.at - crashes.back().at >= kSameMoment) {
-    entry.learned_at = clock_.now();
-  }
-  crashes.insert(after, std::move(added));
+  const bool is_new =
+      crashes.empty() || added.at - crashes.back().at >= kSameMoment;
+  if (!InsertCrash(crashes, std::move(added))) return;
+  if (is_new) entry.learned_at = clock_.now();
   if (crashes.size() <= kMaxCrashes) return;
-  const auto refuted =
-      std::find_if(crashes.begin(), crashes.end(),
-                   [&](const crash& seen) { return IsRefuted(entry, seen); });
+  const auto refuted = std::find_if(
+      crashes.begin(), crashes.end(),
+      [&](const engine_crash& seen) { return IsRefuted(entry, seen); });
   // The first crashes prove the refusal, the last ones set the next trial.
   crashes.erase(refuted != crashes.end() ? refuted
                                          : crashes.begin() + kCrashLimit);
 }
 
-bool request_quarantine::IsRefuted(const record& entry, const crash& seen) {
+bool request_quarantine::IsRefuted(const record& entry,
+                                   const engine_crash& seen) {
   return entry.answered && seen.sent_at <= *entry.answered;
 }
 
@@ -223,9 +214,8 @@
   entry.answered = std::max(entry.answered.value_or(sent_at), sent_at);
 }
 
-std::vector<request_quarantine::crash> request_quarantine::Series(
-    const record& entry) {
-  std::vector<crash> series;
+std::vector<engine_crash> request_quarantine::Series(const record& entry) {
+  std::vector<engine_crash> series;
   for (const auto& seen : entry.crashes) {
     if (IsRefuted(entry, seen)) continue;
     const bool related =
@@ -236,7 +226,7 @@
   return series;
 }
 
-int request_quarantine::Moments(const std::vector<crash>& series) {
+int request_quarantine::Moments(const std::vector<engine_crash>& series) {
   int moments = series.empty() ? 0 : 1;
   for (std::size_t i = 1; i < series.size(); ++i) {
     if (series[i].at - series[i - 1].at >= kSameMoment) ++moments;
@@ -256,9 +246,9 @@
          !IsQuarantined(entry);
 }
 
-int request_quarantine::FailedTrials(const std::vector<crash>& series) {
-  const auto later =
-      std::find_if(series.begin(), series.end(), [&series](const crash& seen) {
+int request_quarantine::FailedTrials(const std::vector<engine_crash>& series) {
+  const auto later = std::find_if(
+      series.begin(), series.end(), [&series](const engine_crash& seen) {
         return seen.at - series[kCrashLimit - 1].at >= kEarlierRequests;
       });
   return Moments({later, series.end()});
--- a/packages/serving/request_quarantine.h
+++ b/packages/serving/request_quarantine.h
@@ -112,8 +112,6 @@
   static constexpr std::chrono::hours kMaxTrialInterval{1};
   // A trial is over by then.
   static constexpr std::chrono::seconds kTrialTime{15};
-  // Reports of different hosts about one crash of an engine differ by less.
-  static constexpr std::chrono::milliseconds kSameCrash{1000};
   // Engines that crash within this time are lost together.
   static constexpr std::chrono::milliseconds kSameMoment{50};
   // Covers an answer's first events and one exchange between hosts.
@@ -132,14 +130,9 @@
   // Refutes any count.
   static constexpr int kAllCounts = 1'000'000;
 
-  struct crash {
-    endpoint_id engine;
-    clock::time_point at;
-    clock::time_point sent_at;
-  };
   struct record {
     /// In order of time.
-    std::vector<crash> crashes;
+    std::vector<engine_crash> crashes;
     std::optional<clock::time_point> answered;
     /// When this host learned of the last moment of a crash. A trial is due by
     /// this time, so that a host which starts does not begin with one.
@@ -152,18 +145,18 @@
   };
 
   record& Touch(const std::string& fingerprint);
-  void AddCrash(record& entry, crash added) const;
-  static bool IsRefuted(const record& entry, const crash& seen);
+  void AddCrash(record& entry, engine_crash added) const;
+  static bool IsRefuted(const record& entry, const engine_crash& seen);
   static void SetAnswered(record& entry, clock::time_point sent_at);
-  // Crashes that no answer refutes, if they are close enough to each other for
-  // a refusal; else none.
-  static std::vector<crash> Series(const record& entry);
+  // Crashes that no answer refutes and that are related to each other. With
+  // `kCrashLimit` of them the request is refused.
+  static std::vector<engine_crash> Series(const record& entry);
   // Moments at which the engines of a series crashed.
-  static int Moments(const std::vector<crash>& series);
+  static int Moments(const std::vector<engine_crash>& series);
   bool IsQuarantined(const record& entry) const;
   bool IsExpired(const record& entry) const;
   // Moments at which engines crashed in trials.
-  static int FailedTrials(const std::vector<crash>& series);
+  static int FailedTrials(const std::vector<engine_crash>& series);
   // Time from the last crash to the first trial at the host of `rank`.
   static clock::duration TrialDelay(const record& entry, int rank);
   request_evidence Report(const std::string& fingerprint,
