Tests of broken heads that are handled already

A handshake between hosts that is answered with another status than 101, or with 101 alone, ends its connection, and the peer is dialled again.

--- a/packages/peer/tests/websocket_peer_network_test.cpp
+++ b/packages/peer/tests/websocket_peer_network_test.cpp
@@ -151,6 +151,42 @@
   EXPECT_TRUE(*any);
 }
 
+// Guards against a handshake that counts as done by an answer without status
+// 101, and against a peer that is not dialled again after it.
+TEST_F(websocket_network_test, BrokenHandshakeIsRefusedAndDialledAgain) {
+  for (const std::string head :
+       {"HTTP/1.1 000 X", "HTTP/1.1 999 X", "HTTP/1.1 103 Early",
+        "HTTP/1.1 200 OK", "HTTP/1.1 101 X\r\nOdd Name: 1"}) {
+    tcp::acceptor listener(context_,
+                           {boost::asio::ip::address_v4::loopback(), 0});
+    std::vector<tcp::socket> dials;
+    std::function<void()> accept = [&] {
+      listener.async_accept([&](auto failure, tcp::socket socket) {
+        if (failure) return;
+        dials.push_back(std::move(socket));
+        boost::system::error_code ignored;
+        boost::asio::write(dials.back(), boost::asio::buffer(head + "\r\n\r\n"),
+                           ignored);
+        accept();
+      });
+    };
+    dials.reserve(100);
+    accept();
+    ASSERT_TRUE(a_.network->SetPeerAddress(
+        host_id("b"),
+        "127.0.0.1:" + std::to_string(listener.local_endpoint().port())));
+    outcome got;
+    SendRequest(a_, "b", 1, got, seconds(20));
+    ASSERT_TRUE(RunUntil([&] { return dials.size() >= 2; })) << head;
+    EXPECT_FALSE(got) << head;
+    listener.close();
+    ASSERT_TRUE(
+        a_.network->SetPeerAddress(host_id("b"), b_.network->listen_address()));
+    ASSERT_TRUE(RunUntil([&] { return got.has_value(); })) << head;
+    EXPECT_TRUE(*got) << head;
+  }
+}
+
 // Guards against connections that stay open after they stop responding: the
 // relay between the hosts stops forwarding on the first connection.
 TEST_F(websocket_network_test, SilentConnectionIsClosedAndDialledAgain) {
