Responses with a status that does not exist are no answers

Callers got an answer of an engine with status 000 as the answer to their request: "HTTP/1.1 000 <unknown-status>" with the engine's seal and body. The same held for every number outside 100 to 599, and for 101. With X-Not-Executed, such an answer was believed, and a request that must not be repeated went to a second engine.

Cause: the library's parser takes any three digits as a status, and no reader of responses checked them.

Each reader of heads now checks the status: endpoint_connection (relay, orders, reports, store, other hosts, the own interface), http_object_store and the client of bluebellrailctl. A response without a valid status counts as a connection that broke: 502, or another endpoint where the request may be repeated; nothing that it states is believed, a write to the store has an unknown outcome (DELETE was taken as done), and the connection is closed.

--- a/packages/ctl/http_client.cpp
+++ b/packages/ctl/http_client.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "base/byte_budget.h"
+#include "base/response_status.h"
 
 namespace bluebell::ctl {
 namespace {
@@ -62,8 +63,10 @@
     parser.body_limit(kMaxAnswer);
     http::async_read(stream, buffer, parser, yield[failure]);
     if (failure) return Lost(failure.message());
-    return http_answer{static_cast<int>(parser.get().result_int()),
-                       parser.get().body()};
+    const auto status = static_cast<int>(parser.get().result_int());
+    const auto checked = CheckStatus(status);
+    if (!checked) return Lost(checked.error().detail);
+    return http_answer{status, parser.get().body()};
   }
 
   http::request<http::string_body> MakeMessage(
--- a/packages/ctl/tests/http_client_test.cpp
+++ b/packages/ctl/tests/http_client_test.cpp
@@ -82,6 +82,25 @@
   }
 }
 
+// Guards against an edit that counts as answered by a status that does not
+// exist.
+TEST(http_client, StatusThatDoesNotExistHasAnUnknownOutcome) {
+  const std::string done = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+  for (const std::string& broken :
+       {std::string("HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\n{}"),
+        "HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n" + done,
+        std::string("HTTP/1.1 999 X\r\nContent-Length: 2\r\n\r\n{}"),
+        std::string("HTTP/1.1 101 X\r\n\r\n"),
+        std::string("HTTP/1.1 200 OK\r\nOdd Name: 1\r\n"
+                    "Content-Length: 2\r\n\r\n{}")}) {
+    one_answer_server server(broken);
+    const auto client = MakeHttpClient(server.address(), "k");
+    const auto given = client->Call({"PUT", "/", {}, "{}"});
+    ASSERT_FALSE(given) << broken;
+    EXPECT_EQ(given.error().code, error_code::kOutcomeUnknown) << broken;
+  }
+}
+
 // Guards against a group that gives up at the first host that is down, or that
 // sends an edit twice after a lost answer.
 TEST(http_client, GroupTriesTheNextAddressOnlyWithoutAConnection) {
--- a/packages/gateway/endpoint_connection.cpp
+++ b/packages/gateway/endpoint_connection.cpp
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "base/address.h"
+#include "base/response_status.h"
 #include "gateway/network.h"
 #include "gateway/transfer_coding.h"
 
@@ -169,8 +170,9 @@
 
 bool endpoint_connection::reusable() const {
   const auto& parser = *state_->parser;
-  return parser.is_done() && parser.keep_alive() &&
-         framing() != body_framing::kConnection && state_->buffer.size() == 0;
+  return state_->stream.socket().is_open() && parser.is_done() &&
+         parser.keep_alive() && framing() != body_framing::kConnection &&
+         state_->buffer.size() == 0;
 }
 
 bool endpoint_connection::open_and_idle() {
@@ -193,7 +195,11 @@
   if (IsExcess(ec)) CutOff(excess::kUnparsed);
   if (ec) return tl::unexpected(ToError(ec));
   http_response head;
-  head.status = state_->parser->get().result_int();
+  head.status = static_cast<int>(state_->parser->get().result_int());
+  if (const auto checked = CheckStatus(head.status); !checked) {
+    Close();
+    return tl::unexpected(checked.error());
+  }
   for (const auto& field : state_->parser->get()) {
     head.fields.Add(std::string(field.name_string()),
                     std::string(field.value()));
--- a/packages/gateway/endpoint_connection.h
+++ b/packages/gateway/endpoint_connection.h
@@ -61,7 +61,8 @@
                     std::chrono::milliseconds timeout,
                     boost::asio::yield_context yield, bool keep_alive);
   /// Reads status and header fields. Errors: `kTimeout`, `kTooLarge`,
-  /// `kOutcomeUnknown`.
+  /// `kOutcomeUnknown`, also for a head that is no answer in the protocol.
+  /// After an error the connection cannot be used.
   result<http_response> ReadHead(std::chrono::milliseconds timeout,
                                  boost::asio::yield_context yield);
   /// Reads the next bytes of the body; returns an empty string at its end.
--- a/packages/gateway/tests/relay_test.cpp
+++ b/packages/gateway/tests/relay_test.cpp
@@ -91,6 +91,47 @@
                                      routing::dispatch_outcome::kSucceeded}));
 }
 
+// `response` with another status line.
+std::string WithStatus(const std::string& status, const std::string& response) {
+  return "HTTP/1.1 " + status + " X" + response.substr(response.find("\r\n"));
+}
+
+// Guards against a response with a status that does not exist, which is no
+// answer and does not tell whether the request ran.
+TEST_F(gateway_test, StatusThatDoesNotExistIsNotRelayed) {
+  std::vector<scripted_endpoint::script> scripts;
+  for (const std::string status : {"000", "042", "101", "600", "999"}) {
+    scripts.emplace_back([status](const std::string& request) {
+      return WithStatus(status, FullResponse(request, R"({"broken":1})"));
+    });
+  }
+  const auto count = scripts.size();
+  scripted_endpoint only(scripts);
+  Start({only.address()});
+  for (std::size_t i = 0; i < count; ++i) {
+    const auto key = "Idempotency-Key: k" + std::to_string(i) + "\r\n";
+    const std::string response = Post("/orders/1", "{}", key);
+    EXPECT_TRUE(Has(response, "endpoint_failed")) << response;
+    EXPECT_FALSE(Has(response, "broken")) << response;
+  }
+  EXPECT_EQ(only.requests().size(), count);
+}
+
+// The same where the request may be repeated.
+TEST_F(gateway_test, StatusThatDoesNotExistIsRetriedOnAnotherEndpoint) {
+  scripted_endpoint first({[](const std::string& request) {
+    return WithStatus("000", FullResponse(request, R"({"broken":1})"));
+  }});
+  scripted_endpoint second({[](const std::string& request) {
+    return FullResponse(request, R"({"text":"abcdef"})");
+  }});
+  Start({first.address(), second.address()});
+  EXPECT_TRUE(Has(Post("/v1/completions", kCompletionRequest), "abcdef"));
+  EXPECT_EQ(scheduler_.outcomes, (std::vector<routing::dispatch_outcome>{
+                                     routing::dispatch_outcome::kBroken,
+                                     routing::dispatch_outcome::kSucceeded}));
+}
+
 // Guards against the first part of an answer without length that is relayed as
 // whole because its endpoint crashed.
 TEST_F(gateway_test, UnframedResponseOfACrashedEndpointIsAnError) {
--- a/packages/store/http_object_store.cpp
+++ b/packages/store/http_object_store.cpp
@@ -15,6 +15,7 @@
 #include "base/address.h"
 #include "base/byte_budget.h"
 #include "base/nested_json.h"
+#include "base/response_status.h"
 
 namespace bluebell::store {
 namespace {
@@ -40,7 +41,7 @@
 };
 
 struct response {
-  unsigned status = 0;
+  int status = 0;
   json body;
 };
 
@@ -217,7 +218,7 @@
   void ReadResponse();
   void OnResponse();
   void OnConnectFailure(const error_code& failure);
-  void OnExchangeFailure(const error_code& failure);
+  void OnExchangeFailure(const std::string& detail);
   void Finish(call_outcome outcome);
   // Sets the time limit of the next I/O step, capped at the call's deadline.
   void LimitStep(std::chrono::milliseconds limit);
@@ -302,7 +303,7 @@
   http::async_write(
       *stream_, http_request_,
       [self = shared_from_this()](const error_code& failure, std::size_t) {
-        if (failure) return self->OnExchangeFailure(failure);
+        if (failure) return self->OnExchangeFailure(failure.message());
         self->ReadResponse();
       });
 }
@@ -313,14 +314,14 @@
   http::async_read(
       *stream_, buffer_, *parser_,
       [self = shared_from_this()](const error_code& failure, std::size_t) {
-        if (failure) return self->OnExchangeFailure(failure);
+        if (failure) return self->OnExchangeFailure(failure.message());
         self->OnResponse();
       });
 }
 
 // A reused connection may be closed or unresponsive, so a read is retried on a
 // new one. Any other call fails; the next call starts with the next endpoint.
-void call::OnExchangeFailure(const error_code& failure) {
+void call::OnExchangeFailure(const std::string& detail) {
   const auto owner = client_.lock();
   if (!owner) return;
   buffer_.clear();
@@ -328,14 +329,16 @@
   if (owner->preferred_endpoint == endpoint_index_) {
     owner->preferred_endpoint = (endpoint_index_ + 1) % owner->endpoints.size();
   }
-  Finish(tl::unexpected<call_failure>(
-      call_failure{sent_, "exchange: " + failure.message()}));
+  Finish(
+      tl::unexpected<call_failure>(call_failure{sent_, "exchange: " + detail}));
 }
 
 void call::OnResponse() {
   auto message = parser_->release();
   response received;
-  received.status = message.result_int();
+  received.status = static_cast<int>(message.result_int());
+  const auto checked = CheckStatus(received.status);
+  if (!checked) return OnExchangeFailure(checked.error().detail);
   received.body = ParseJson(message.body());
   // Bytes after the response would be parsed as the response to the next call.
   const bool reusable = message.keep_alive() && buffer_.size() == 0;
--- a/packages/store/tests/http_object_store_test.cpp
+++ b/packages/store/tests/http_object_store_test.cpp
@@ -138,6 +138,18 @@
   EXPECT_EQ(next->name, "b");
 }
 
+// Guards against a connection that is used again after a status that does not
+// exist, and against a write that counts as not done by it.
+TEST_F(http_store_test, StatusThatDoesNotExistIsNoAnswer) {
+  MakeStore({});
+  status_ = 999;
+  EXPECT_EQ(Get("a").error().code, error_code::kUnavailable);
+  EXPECT_EQ(Put("a").error().cause.code, error_code::kOutcomeUnknown);
+  status_ = 200;
+  EXPECT_TRUE(Get("b"));
+  EXPECT_EQ(server_.accepted(), 3);
+}
+
 // Guards against an unreachable first address that fails every call.
 TEST_F(http_store_test, NextAddressIsUsedWhenOneRefuses) {
   http_server closed(context_, [](const auto&) {});
