Interim responses are skipped until the final one

An interim response (1xx) that named the request reached the caller as its answer, without a body, and the sound answer behind it was lost. One without the id was skipped by a rule for answers to other requests, twice at most. At the store, a 1xx counted as the answer to a call; the final response, if it came later, was read as that to the next call on the connection.

Cause: each reader took the first head after a request for its answer.

response_sequence, which takes the place of CheckStatus, decides for all readers of heads: a status that does not exist is an error, an interim response is skipped, and the next one is read within the same timeout. Bytes that follow an interim response as if they were its body are read as the next head, and fail.

--- a/packages/ctl/http_client.cpp
+++ b/packages/ctl/http_client.cpp
@@ -9,7 +9,7 @@
 #include <utility>
 
 #include "base/byte_budget.h"
-#include "base/response_status.h"
+#include "base/response_sequence.h"
 
 namespace bluebell::ctl {
 namespace {
@@ -59,14 +59,17 @@
     http::async_write(stream, message, yield[failure]);
     if (failure) return Lost(failure.message());
     beast::flat_buffer buffer(kMaxUnparsedBytes);
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(kMaxAnswer);
-    http::async_read(stream, buffer, parser, yield[failure]);
-    if (failure) return Lost(failure.message());
-    const auto status = static_cast<int>(parser.get().result_int());
-    const auto checked = CheckStatus(status);
-    if (!checked) return Lost(checked.error().detail);
-    return http_answer{status, parser.get().body()};
+    response_sequence responses;
+    while (true) {
+      http::response_parser<http::string_body> parser;
+      parser.body_limit(kMaxAnswer);
+      http::async_read(stream, buffer, parser, yield[failure]);
+      if (failure) return Lost(failure.message());
+      const auto status = static_cast<int>(parser.get().result_int());
+      const auto is_final = responses.Add(status);
+      if (!is_final) return Lost(is_final.error().detail);
+      if (*is_final) return http_answer{status, parser.get().body()};
+    }
   }
 
   http::request<http::string_body> MakeMessage(
--- a/packages/ctl/tests/http_client_test.cpp
+++ b/packages/ctl/tests/http_client_test.cpp
@@ -83,14 +83,15 @@
 }
 
 // Guards against an edit that counts as answered by a status that does not
-// exist.
-TEST(http_client, StatusThatDoesNotExistHasAnUnknownOutcome) {
+// exist, and against a final answer that is lost behind an interim one.
+TEST(http_client, OnlyAFinalResponseIsAnAnswer) {
   const std::string done = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+  const std::string interim = "HTTP/1.1 103 Early\r\n\r\n";
   for (const std::string& broken :
        {std::string("HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\n{}"),
         "HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n" + done,
         std::string("HTTP/1.1 999 X\r\nContent-Length: 2\r\n\r\n{}"),
-        std::string("HTTP/1.1 101 X\r\n\r\n"),
+        std::string("HTTP/1.1 101 X\r\n\r\n"), interim,
         std::string("HTTP/1.1 200 OK\r\nOdd Name: 1\r\n"
                     "Content-Length: 2\r\n\r\n{}")}) {
     one_answer_server server(broken);
@@ -99,6 +100,12 @@
     ASSERT_FALSE(given) << broken;
     EXPECT_EQ(given.error().code, error_code::kOutcomeUnknown) << broken;
   }
+  one_answer_server server(interim + interim + done);
+  const auto client = MakeHttpClient(server.address(), "k");
+  const auto answer = client->Call({"PUT", "/", {}, "{}"});
+  ASSERT_TRUE(answer) << answer.error().detail;
+  EXPECT_EQ(answer->status, 200);
+  EXPECT_EQ(answer->body, "{}");
 }
 
 // Guards against a group that gives up at the first host that is down, or that
--- a/packages/gateway/endpoint_connection.cpp
+++ b/packages/gateway/endpoint_connection.cpp
@@ -10,7 +10,7 @@
 #include <utility>
 
 #include "base/address.h"
-#include "base/response_status.h"
+#include "base/response_sequence.h"
 #include "gateway/network.h"
 #include "gateway/transfer_coding.h"
 
@@ -188,17 +188,25 @@
 
 result<http_response> endpoint_connection::ReadHead(
     std::chrono::milliseconds timeout, asio::yield_context yield) {
-  io_error ec;
+  // Applies to all reads below.
   state_->stream.expires_after(timeout);
-  http::async_read_header(state_->stream, state_->buffer, *state_->parser,
-                          yield[ec]);
-  if (IsExcess(ec)) CutOff(excess::kUnparsed);
-  if (ec) return tl::unexpected(ToError(ec));
+  response_sequence responses;
   http_response head;
-  head.status = static_cast<int>(state_->parser->get().result_int());
-  if (const auto checked = CheckStatus(head.status); !checked) {
-    Close();
-    return tl::unexpected(checked.error());
+  while (true) {
+    io_error ec;
+    http::async_read_header(state_->stream, state_->buffer, *state_->parser,
+                            yield[ec]);
+    if (IsExcess(ec)) CutOff(excess::kUnparsed);
+    if (ec) return tl::unexpected(ToError(ec));
+    head.status = static_cast<int>(state_->parser->get().result_int());
+    const auto is_final = responses.Add(head.status);
+    if (!is_final) {
+      const bool too_many = is_final.error().code == error_code::kTooLarge;
+      too_many ? CutOff(excess::kUnparsed) : Close();
+      return tl::unexpected(is_final.error());
+    }
+    if (*is_final) break;
+    ExpectNextResponse();
   }
   for (const auto& field : state_->parser->get()) {
     head.fields.Add(std::string(field.name_string()),
--- a/packages/gateway/endpoint_connection.h
+++ b/packages/gateway/endpoint_connection.h
@@ -26,7 +26,8 @@
 
 /// What an endpoint sent more of than a connection may hold.
 enum class excess {
-  /// A head, the line of a chunk, or a trailer.
+  /// A head, the interim responses before one, the line of a chunk, or a
+  /// trailer.
   kUnparsed,
   /// A body above the reader's limit.
   kBody,
@@ -60,7 +61,8 @@
   result<void> Send(const http_request& request, std::string_view body,
                     std::chrono::milliseconds timeout,
                     boost::asio::yield_context yield, bool keep_alive);
-  /// Reads status and header fields. Errors: `kTimeout`, `kTooLarge`,
+  /// Reads status and header fields of the final response; interim ones (1xx)
+  /// are skipped. Errors: `kTimeout` for all of it, `kTooLarge`,
   /// `kOutcomeUnknown`, also for a head that is no answer in the protocol.
   /// After an error the connection cannot be used.
   result<http_response> ReadHead(std::chrono::milliseconds timeout,
--- a/packages/gateway/tests/relay_test.cpp
+++ b/packages/gateway/tests/relay_test.cpp
@@ -132,6 +132,20 @@
                                      routing::dispatch_outcome::kSucceeded}));
 }
 
+// Guards against an interim response that is relayed as the answer.
+TEST_F(gateway_test, InterimResponsesAreNotRelayed) {
+  scripted_endpoint only({[](const std::string& request) {
+    return "HTTP/1.1 100 Continue\r\n\r\n" +
+           WithStatus("103", UnframedResponse(request, "")) +
+           FullResponse(request, R"({"order":1})");
+  }});
+  Start({only.address()});
+  const std::string response =
+      Post("/orders/1", "{}", "Idempotency-Key: one\r\n");
+  EXPECT_TRUE(Has(response, "HTTP/1.1 200")) << response;
+  EXPECT_TRUE(Has(response, R"({"order":1})")) << response;
+}
+
 // Guards against the first part of an answer without length that is relayed as
 // whole because its endpoint crashed.
 TEST_F(gateway_test, UnframedResponseOfACrashedEndpointIsAnError) {
--- a/packages/store/http_object_store.cpp
+++ b/packages/store/http_object_store.cpp
@@ -15,7 +15,7 @@
 #include "base/address.h"
 #include "base/byte_budget.h"
 #include "base/nested_json.h"
-#include "base/response_status.h"
+#include "base/response_sequence.h"
 
 namespace bluebell::store {
 namespace {
@@ -231,6 +231,7 @@
   http::request<http::string_body> http_request_;
   beast::flat_buffer buffer_{kMaxUnparsedBytes};
   std::optional<http::response_parser<http::string_body>> parser_;
+  response_sequence responses_;
   // Index of the first endpoint, failed connects, and index of the current one.
   std::size_t first_endpoint_ = 0;
   std::size_t failed_endpoints_ = 0;
@@ -300,6 +301,7 @@
 
 void call::SendRequest() {
   sent_ = true;
+  responses_ = {};
   http::async_write(
       *stream_, http_request_,
       [self = shared_from_this()](const error_code& failure, std::size_t) {
@@ -337,8 +339,9 @@
   auto message = parser_->release();
   response received;
   received.status = static_cast<int>(message.result_int());
-  const auto checked = CheckStatus(received.status);
-  if (!checked) return OnExchangeFailure(checked.error().detail);
+  const auto is_final = responses_.Add(received.status);
+  if (!is_final) return OnExchangeFailure(is_final.error().detail);
+  if (!*is_final) return ReadResponse();
   received.body = ParseJson(message.body());
   // Bytes after the response would be parsed as the response to the next call.
   const bool reusable = message.keep_alive() && buffer_.size() == 0;
--- a/packages/store/tests/http_object_store_test.cpp
+++ b/packages/store/tests/http_object_store_test.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <memory>
 #include <optional>
@@ -138,6 +139,34 @@
   EXPECT_EQ(next->name, "b");
 }
 
+// Guards against an interim response that counts as the answer: the final one
+// would be taken for that to the next call.
+TEST_F(http_store_test, InterimResponseIsSkipped) {
+  using boost::asio::ip::tcp;
+  tcp::acceptor acceptor(
+      context_, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+  const std::string interim = "HTTP/1.1 103 Early\r\n\r\n";
+  const auto body = MakeResponse("/v1/objects/a").body;
+  const auto answer = interim + "HTTP/1.1 200 OK\r\nContent-Length: " +
+                      std::to_string(body.size()) + "\r\n\r\n" + body;
+  std::optional<tcp::socket> peer;
+  boost::asio::steady_timer later(context_);
+  acceptor.async_accept([&](const auto&, tcp::socket socket) {
+    peer = std::move(socket);
+    boost::asio::write(*peer, boost::asio::buffer(interim));
+    later.expires_after(milliseconds(30));
+    later.async_wait(
+        [&](auto) { boost::asio::write(*peer, boost::asio::buffer(answer)); });
+  });
+  http_store_options options;
+  options.addresses = {"127.0.0.1:" +
+                       std::to_string(acceptor.local_endpoint().port())};
+  MakeStore(options);
+  const auto got = Get("a");
+  ASSERT_TRUE(got) << got.error().detail;
+  EXPECT_EQ(got->name, "a");
+}
+
 // Guards against a connection that is used again after a status that does not
 // exist, and against a write that counts as not done by it.
 TEST_F(http_store_test, StatusThatDoesNotExistIsNoAnswer) {
