Soak: interim responses and broken heads

Sound plain engines send interim responses before one answer in 20; engines with a fault send answers whose head is none in the protocol, and report a request that comes on the same connection later. Callers check the head of each answer.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -7,7 +7,9 @@
 
   TWICE    a request that must not be repeated runs more than once
   REFUSED  a 429 or 503 for a request that has run
-  MIXED    a 200 without the engine's seal, for another request, or cut
+  MIXED    a 200 without the engine's seal, for another request, or cut; an
+           answer whose head is none in the protocol; a connection that is used
+           again after an engine has sent such a head on it
   ORDER    a stream with missing or repeated events, or complete too early
   KEYS     a key works longer than its bound after it was withdrawn
   SERVED   nothing is served for ten seconds after the last fault has ended
@@ -61,6 +63,7 @@
 import json
 import os
 import random
+import re
 import resource
 import shutil
 import signal
@@ -108,6 +111,8 @@
 MAX_LATE_CRASHES = 3
 # Answers of plain engines that have neither a length nor chunks.
 UNFRAMED_SHARE = 0.1
+# Answers of plain engines that interim responses precede.
+INTERIM_SHARE = 0.05
 # LIMIT, DRAIN, PAUSE: bounds of the users' rules.
 LIMIT_WINDOW_S = 4.0
 LIMIT_FACTOR = 1.5
@@ -151,7 +156,7 @@
         text = await reader.readuntil(b"\r\n\r\n")
     except (asyncio.IncompleteReadError, ConnectionError):
         return None
-    lines = text.decode().split("\r\n")
+    lines = text.decode().removesuffix("\r\n\r\n").split("\r\n")
     fields = {}
     for line in lines[1:]:
         name, _, value = line.partition(":")
@@ -159,6 +164,27 @@
     return lines[0], fields
 
 
+# The name of a field (RFC 9110, section 5.6.2).
+FIELD_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+
+
+def is_final_head(first, fields):
+    """Whether the head of an answer is that of a final response."""
+    return (re.fullmatch(r"HTTP/1\.1 [2-5][0-9]{2}( .*)?", first) is not None
+            and all(FIELD_NAME.fullmatch(name) for name in fields))
+
+
+def broken_answer(rng, fields):
+    """An answer with an engine's body whose head is none in the protocol."""
+    first, more = rng.choice([
+        ("HTTP/1.1 000 X", {}), ("HTTP/1.1 999 X", {}), ("HTTP/1.1 101 X", {}),
+        ("HTTP/1.1 000 X", {"X-Not-Executed": "1"}),
+        ("HTTP/1.1 200 OK", {"Odd Name": "1"}),
+        ("HTTP/1.1 200 OK", {"Odd\x01": "1"}),
+        ("HTTP/1.1 503 Full", {"X-Not-Executed": "1", "Odd ": "1"})])
+    return message(first, {**fields, **more}, b"broken")
+
+
 async def read_body(reader, fields):
     return await reader.readexactly(int(fields.get("content-length", "0")))
 
@@ -572,6 +598,18 @@
             return False
         if fault == "reset":
             return False
+        if fault == "broken":
+            writer.write(broken_answer(rng, {**common,
+                                             "X-Server-Seal": attempt}))
+            if await read_head(reader) is not None:
+                self.soak.problem("MIXED", f"{attempt}: {self.id} gets a "
+                                  "request on a connection after a broken head")
+            return False
+        if rng.random() < INTERIM_SHARE:
+            for _ in range(rng.randint(1, 3)):
+                writer.write(head_of("HTTP/1.1 103 Early",
+                                     {**common, "X-Server-Seal": attempt}))
+            await asyncio.sleep(rng.choice([0, 0.01]))
         common.update(says.tell(request))
         if fault == "errors":
             writer.write(message("HTTP/1.1 500 No",
@@ -1320,12 +1358,17 @@
         if head is None:
             raise ConnectionResetError()
         request.answered = True
-        status = int(head[0].split(" ")[1])
+        status = self.read_status(request, head)
         await self.check(status, head[1], reader, request, key, begun)
         request.end, request.outcome = now(), "answer"
         request.status = status
         return head[1].get("connection", "") == "close"
 
+    def read_status(self, request, head):
+        if not is_final_head(*head):
+            self.problem("MIXED", f"{request.attempt}: head {head}")
+        return int(head[0].split(" ")[1])
+
     async def check(self, status, fields, reader, request, key, sent):
         kind, attempt = request.kind, request.attempt
         if status != 200:
@@ -1506,7 +1549,7 @@
         if head is None:
             raise ConnectionResetError()
         request.answered = True
-        request.status = int(head[0].split(" ")[1])
+        request.status = self.read_status(request, head)
         body = await read_body(caller, head[1])
         request.end, request.outcome = now(), "answer"
         if request.status != 200:
@@ -1633,7 +1676,7 @@
         elif kind == "engine":
             def begin():
                 engine.fault = rng.choice(
-                    ["shed", "reset", "errors", "cut", "extra"])
+                    ["shed", "reset", "errors", "cut", "extra", "broken"])
 
             def end():
                 engine.fault = ""
