--- a/packages/gateway/endpoint_connection.cpp
+++ b/packages/gateway/endpoint_connection.cpp
@@ -201,8 +201,11 @@
     head.status = static_cast<int>(state_->parser->get().result_int());
     const auto is_final = responses.Add(head.status);
     if (!is_final) {
-      const bool too_many = is_final.error().code == error_code::kTooLarge;
-      too_many ? CutOff(excess::kUnparsed) : Close();
+      if (is_final.error().code == error_code::kTooLarge) {
+        CutOff(excess::kUnparsed);
+      } else {
+        Close();
+      }
       return tl::unexpected(is_final.error());
     }
     if (*is_final) break;
--- a/packages/gateway/tests/endpoint_connection_test.cpp
+++ b/packages/gateway/tests/endpoint_connection_test.cpp
@@ -53,7 +53,7 @@
     });
     io_.restart();
     io_.run_for(std::chrono::seconds(10));
-    return std::move(*head);
+    return std::move(head).value();
   }
   result<http_response> ReadHead(const std::string& bytes) {
     return ReadHead(
