Handshakes between hosts: the status line is checked before it is parsed

A peer that answers the handshake of a dialled connection with a status such as 999 caused undefined behaviour in the websocket library, which converts any number to an enumeration of statuses. The connection was refused all the same, so callers saw nothing.

Only "HTTP/1.1 101" can answer a handshake; any other beginning now ends the connection before the library reads it, and the peer is dialled again.

websocket_network_test.BrokenHandshakeIsRefusedAndDialledAgain failed in the sanitized build on (load of value 999), and passes.

--- a/packages/peer/websocket_peer_network.cpp
+++ b/packages/peer/websocket_peer_network.cpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string_view>
 #include <utility>
 #include <websocketpp/client.hpp>
 #include <websocketpp/config/asio_no_tls.hpp>
@@ -24,8 +25,36 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+// The answer to the handshake of a dialled connection.
+class handshake_response : public websocketpp::http::parser::response {
+ public:
+  // Rejects an answer that does not begin as the only valid one, before the
+  // library converts its status: values that its type cannot hold are undefined
+  // behaviour.
+  std::size_t consume(const char* data, std::size_t size) {
+    constexpr std::string_view kStatusLine = "HTTP/1.1 101 ";
+    const auto expected = kStatusLine.substr(checked_, size);
+    if (expected != std::string_view(data, expected.size())) {
+      throw websocketpp::http::exception(
+          "unexpected status line",
+          websocketpp::http::status_code::bad_request);
+    }
+    checked_ += expected.size();
+    return response::consume(data, size);
+  }
+
+ private:
+  // Bytes of the status line that were compared.
+  std::size_t checked_ = 0;
+};
+
+struct client_config : websocketpp::config::asio_client {
+  using type = client_config;
+  using response_type = handshake_response;
+};
+
 using server_endpoint = websocketpp::server<websocketpp::config::asio>;
-using client_endpoint = websocketpp::client<websocketpp::config::asio_client>;
+using client_endpoint = websocketpp::client<client_config>;
 using server_connection = server_endpoint::connection_ptr;
 using client_connection = client_endpoint::connection_ptr;
 
