--- a/packages/ctl/admin_client.cpp
+++ b/packages/ctl/admin_client.cpp
@@ -1,6 +1,6 @@
 #include "ctl/admin_client.h"
 
-#include <fmt/format.h>
+#include "base/percent_encoding.h"
 
 namespace bluebell::ctl {
 
@@ -19,17 +19,7 @@
 }
 
 std::string EncodePath(const std::string& text) {
-  const std::string allowed =
-      "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~:@+/";
-  std::string encoded;
-  for (const char c : text) {
-    if (allowed.find(c) != std::string::npos) {
-      encoded += c;
-    } else {
-      encoded += fmt::format("%{:02X}", static_cast<unsigned char>(c));
-    }
-  }
-  return encoded;
+  return PercentEncode(text, ":@+/");
 }
 
 }  // namespace bluebell::ctl
--- a/packages/store/http_object_store.cpp
+++ b/packages/store/http_object_store.cpp
@@ -7,7 +7,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
-#include <cctype>
 #include <deque>
 #include <set>
 #include <utility>
@@ -15,6 +14,7 @@
 #include "base/address.h"
 #include "base/byte_budget.h"
 #include "base/nested_json.h"
+#include "base/percent_encoding.h"
 #include "base/response_sequence.h"
 
 namespace bluebell::store {
@@ -47,20 +47,8 @@
 
 using call_outcome = tl::expected<response, call_failure>;
 
-// Percent-encodes all but unreserved characters and "/".
-std::string Encode(const std::string& text) {
-  static const char* const kDigits = "0123456789ABCDEF";
-  std::string encoded;
-  for (const char c : text) {
-    const auto byte = static_cast<unsigned char>(c);
-    if (std::isalnum(byte) || std::string("-._~/").find(c) != text.npos) {
-      encoded += c;
-    } else {
-      encoded += {'%', kDigits[byte >> 4], kDigits[byte & 15]};
-    }
-  }
-  return encoded;
-}
+// Names are paths.
+std::string Encode(const std::string& name) { return PercentEncode(name, "/"); }
 
 std::string ObjectTarget(const std::string& name,
                          std::optional<revision> expected) {
