Lists of the store: a page's end does not depend on its last name

Only the engines of that page were used, at about eight times the calls, and nothing was logged.

Cause: the next page began after the name of the last entry. Without one the first page came again, up to the bound of 40 pages, which ended the list as if it were whole. In the same code, "more_pages" was searched in the raw text, so that an entry could hold it and a blank could hide it; what stood beside a name could make it unreadable; a name that came twice listed an engine twice; and a page whose name was refused failed the list.

page_cursor now decides where the next page begins: after the last name that no earlier page had. It passes over entries without one, moves on or ends, and takes an earlier plain name if the store refuses one. A list that ends early says so: engines and hosts behind its end stay as they were known (read_to), lists of evacuated zones and stream versions count as not read, such a host is not followed by others, and list_incomplete is logged once.

--- a/fuzz/store_page_fuzzer.cpp
+++ b/fuzz/store_page_fuzzer.cpp
@@ -6,6 +6,7 @@
 #include "platform/config_decoder.h"
 #include "platform/engine_decoder.h"
 #include "platform/object_page.h"
+#include "platform/page_cursor.h"
 
 namespace platform = bluebell::platform;
 
@@ -18,11 +19,12 @@
                               size - 1);
   switch (data[0]) {
     case 'p':
-      if (const auto page = platform::ReadObjectPage(text)) {
-        for (const auto& object : page->objects) {
+      if (const auto objects = platform::ReadObjects(text)) {
+        for (const auto& object : *objects) {
           platform::DecodeEngine(object.name, object.spec);
         }
       }
+      platform::page_cursor().OnPage(text);
       break;
     case 'c':
       platform::DecodeConfig(nlohmann::json::parse(text, nullptr, false));
--- a/packages/daemon/program/bluebellraild.cpp
+++ b/packages/daemon/program/bluebellraild.cpp
@@ -190,6 +190,9 @@
             host_->LogUnreadable(kind, name, reason);
           },
           std::make_shared<byte_budget>(settings_.store_bytes));
+      store_->OnIncomplete([this](const auto& kind, const auto& cause) {
+        if (host_ != nullptr) host_->LogListEnd(kind, cause);
+      });
       store_->OnCutOff([this](auto cause) {
         if (host_ != nullptr) host_->ReportStoreCutOff(cause);
       });
--- a/packages/edge/deployment_store.h
+++ b/packages/edge/deployment_store.h
@@ -41,7 +41,7 @@
   virtual result<std::shared_ptr<const serving::serving_config>> ReadConfig(
       boost::asio::yield_context yield) = 0;
   /// Returns all valid endpoint records, as of the version of the store at
-  /// which the listing began.
+  /// which the listing began. The list may end early (`read_to`).
   virtual result<serving::engine_listing> ListEngines(
       boost::asio::yield_context yield) = 0;
 
@@ -63,10 +63,13 @@
                                  boost::asio::yield_context yield) = 0;
   virtual result<void> RemoveHost(const host_id& host,
                                   boost::asio::yield_context yield) = 0;
+  /// Returns all valid entries. If the list cannot be read to its end, those
+  /// behind it are as listed last.
   virtual result<std::vector<serving::host_entry>> ListHosts(
       boost::asio::yield_context yield) = 0;
 
-  /// Returns the stored parts; the answer may be seconds old.
+  /// Returns the stored parts; the answer may be seconds old, and may lack some
+  /// if the list cannot be read to its end.
   virtual result<std::vector<serving::stored_part>> ListQuarantined(
       boost::asio::yield_context yield) = 0;
   /// Stores a part; success if it is stored already. `kInvalidArgument`: its id
--- a/packages/edge/edge_host.cpp
+++ b/packages/edge/edge_host.cpp
@@ -555,6 +555,12 @@
                          {{"kind", kind}, {"name", name}, {"detail", why}});
 }
 
+void edge_host::LogListEnd(const std::string& kind, const std::string& cause) {
+  const bool whole = cause.empty();
+  impl_->state.log.Write(whole ? "list_complete" : "list_incomplete",
+                         {{"kind", kind}, {"detail", cause}});
+}
+
 void edge_host::ReportStoreCutOff(gateway::excess cause) {
   ReportCutOff(impl_->state, "store", impl_->state.settings.store_address,
                cause);
--- a/packages/edge/edge_host.h
+++ b/packages/edge/edge_host.h
@@ -42,6 +42,9 @@
   /// Logs a store object that cannot be parsed.
   void LogUnreadable(const std::string& kind, const std::string& name,
                      const std::string& why);
+  /// Logs that the store's list of a kind can no longer be read to its end, or,
+  /// without a `cause`, that it can again.
+  void LogListEnd(const std::string& kind, const std::string& cause);
   /// Logs and counts a connection to the store that was cut off.
   void ReportStoreCutOff(gateway::excess cause);
 
--- a/packages/edge/store_sync.cpp
+++ b/packages/edge/store_sync.cpp
@@ -115,7 +115,7 @@
     OnStoreRead("engines", now, read.has_value(),
                 read ? std::string() : read.error().detail);
     if (read) {
-      log_.Update(read->version, *read->records,
+      log_.Update(read->version, WithUnread(*read),
                   host_.store_contact.MayLackRecords());
       if (Supersede({kOwnReads, "", log_.end()}, log_.version(), now)) {
         host_.records.Apply(log_.version(), log_.Records(), log_.Kept(),
@@ -128,7 +128,8 @@
     const bool may_repeat = !evacuations_failed_;
     const bool has_zones = read && ReadEvacuations(yield);
     if (has_zones) {
-      reads_store_ = true;
+      // Followers would take records that were not read for gone.
+      reads_store_ = !read->read_to;
       store_read_at_ = now;
       records_at_ = now;
     }
@@ -140,6 +141,26 @@
   }
 }
 
+std::vector<serving::engine_record> store_sync::WithUnread(
+    const serving::engine_listing& listing) const {
+  auto records = *listing.records;
+  if (!listing.read_to) return records;
+  std::set<endpoint_id> ids;
+  std::set<std::string> addresses;
+  for (const auto& record : records) {
+    ids.insert(record.id);
+    addresses.insert(record.address);
+  }
+  for (const auto& [id, engine] : host_.fleet.engines()) {
+    // Another endpoint uses the address now.
+    if (addresses.count(engine.record.address)) continue;
+    if (*listing.read_to < id && !ids.count(id)) {
+      records.push_back(engine.record);
+    }
+  }
+  return records;
+}
+
 bool store_sync::ReadEvacuations(boost::asio::yield_context yield) {
   if (!host_.evacuations.enabled()) return true;
   const auto sent = host_.time.now();
--- a/packages/edge/store_sync.h
+++ b/packages/edge/store_sync.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "edge/edge_state.h"
+#include "serving/engine_record.h"
 #include "serving/record_log.h"
 #include "serving/sync_messages.h"
 
@@ -72,6 +73,10 @@
   bool Supersede(const record_source& source,
                  const serving::store_version& version,
                  clock::time_point read_at);
+  // The records of a listing, and those in effect of endpoints behind its end
+  // if it is not whole.
+  std::vector<serving::engine_record> WithUnread(
+      const serving::engine_listing& listing) const;
   // Lists the evacuated zones; returns whether this succeeded.
   bool ReadEvacuations(boost::asio::yield_context yield);
   void ApplyEvacuations(std::set<zone_id> zones, clock::time_point read_at);
--- a/packages/serving/engine_record.h
+++ b/packages/serving/engine_record.h
@@ -58,11 +58,14 @@
   }
 };
 
-/// All endpoint records of the store as of one of its versions.
+/// The endpoint records of the store as of one of its versions.
 struct engine_listing {
   store_version version;
   /// The same object as in the previous listing if no record has changed.
   std::shared_ptr<const std::vector<engine_record>> records;
+  /// Set if the list could not be read to its end: endpoints with higher ids
+  /// are unknown, not gone.
+  std::optional<endpoint_id> read_to = std::nullopt;
 };
 
 /// Current state as reported by the engine itself; newer than its record.
