Heads: what a head cannot carry is not sent, and names no engine

Cause: text of other writers went into heads unread. Now records whose name is empty or cannot be a field's value (base/field_text) name no engine, also those that hosts of older builds pass on; a software version that cannot is left out, as one of another type is. Names with &, +, #, %, inner blanks or bytes above 7f name engines as before. For all other text, such as the id of an event by which a stream is resumed, the connection to an endpoint refuses to send such a head: nothing was sent, and the request counts as not run.

--- a/packages/edge/request_send.cpp
+++ b/packages/edge/request_send.cpp
@@ -305,8 +305,14 @@
                           : host_.dialect.EngineRequest(received_, call);
   if (forwarded_) request = WithoutForwardedCall(std::move(request));
   if (BeginsStream()) RecordStart();
-  if (!connection.Send(request, received_.body, TimeLeft(), yield_, true))
-    return OnConnectionLost();
+  const auto sent =
+      connection.Send(request, received_.body, TimeLeft(), yield_, true);
+  if (!sent) {
+    last_detail_ = sent.error().detail;
+    return sent.error().code == error_code::kInvalidArgument
+               ? send_result::kNotRun
+               : OnConnectionLost();
+  }
   auto slow_timer = RetryWhenSlow(connection, typical_answer_s);
   auto head =
       connection.ReadHead(std::max(TimeLeft(), milliseconds(1)), yield_);
--- a/packages/gateway/endpoint_connection.cpp
+++ b/packages/gateway/endpoint_connection.cpp
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "base/address.h"
+#include "base/field_text.h"
 #include "base/response_sequence.h"
 #include "gateway/network.h"
 #include "gateway/transfer_coding.h"
@@ -37,6 +38,15 @@
   return {code, ec.message()};
 }
 
+// What a head cannot carry would end a field, or the head, and begin another.
+bool CanBeSent(std::string_view target, const http_fields& fields) {
+  const auto& all = fields.all();
+  return IsFieldText(target) && target.find_first_of(" \t") == target.npos &&
+         std::all_of(all.begin(), all.end(), [](const http_field& field) {
+           return IsFieldText(field.value);
+         });
+}
+
 // Makes room for `space` bytes of `body`, within what `held` may hold. The old
 // space is given back after the new one was filled.
 bool Reserve(std::string& body, std::size_t space, byte_share* held) {
@@ -140,12 +150,17 @@
                                        std::chrono::milliseconds timeout,
                                        asio::yield_context yield,
                                        bool keep_alive) {
+  const auto target =
+      request.query.empty() ? request.path : request.path + "?" + request.query;
+  if (!CanBeSent(target, request.fields)) {
+    return Fail(error_code::kInvalidArgument,
+                "a head cannot carry the request");
+  }
   if (state_->used) state_->Reset();
   state_->used = true;
   http::request<http::span_body<const char>> message;
   message.method_string(request.method);
-  message.target(request.query.empty() ? request.path
-                                       : request.path + "?" + request.query);
+  message.target(target);
   message.version(11);
   for (const auto& field : request.fields.all()) {
     message.insert(field.name, field.value);
--- a/packages/gateway/endpoint_connection.h
+++ b/packages/gateway/endpoint_connection.h
@@ -52,8 +52,10 @@
 
   ~endpoint_connection();
 
-  /// Sends the request. Every failure is `kOutcomeUnknown`. With `keep_alive`
-  /// the endpoint may leave the connection open for another request.
+  /// Sends the request. Error `kInvalidArgument`: a head cannot carry its
+  /// target or a field, and no byte was sent; any other failure is
+  /// `kOutcomeUnknown`. With `keep_alive` the endpoint may leave the connection
+  /// open for another request.
   result<void> Send(const http_request& request,
                     std::chrono::milliseconds timeout,
                     boost::asio::yield_context yield, bool keep_alive = false);
--- a/packages/gateway/tests/endpoint_connection_test.cpp
+++ b/packages/gateway/tests/endpoint_connection_test.cpp
@@ -127,5 +127,45 @@
   EXPECT_EQ(head.error().code, error_code::kTimeout);
 }
 
+// Guards against a target or a field that ends its line and begins another one,
+// whoever named it.
+TEST(request_head, WhatAHeadCannotCarryIsNotSent) {
+  asio::io_context io;
+  tcp::acceptor acceptor(io, {asio::ip::address_v4::loopback(), 0});
+  const auto address =
+      "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  std::vector<http_request> odd(6, {"GET", "/a", "", {}, "", ""});
+  odd[0].path = "/a b";
+  odd[1].query = "after=a\r\nX-Injected: 1";
+  odd[2].path = std::string("/a\0", 3);
+  odd[3].fields.Add("Name", "a\r\nX-Injected: 1");
+  odd[4].fields.Add("Name", "a\nb");
+  odd[5].fields.Add("Name", std::string("a\0b", 3));
+  SpawnTask(io, [&](auto yield) {
+    auto opened =
+        endpoint_connection::Connect(io, address, milliseconds(2000), yield);
+    ASSERT_TRUE(opened);
+    for (const auto& request : odd) {
+      const auto sent =
+          (*opened)->Send(request, milliseconds(2000), yield, true);
+      ASSERT_FALSE(sent) << request.path;
+      EXPECT_EQ(sent.error().code, error_code::kInvalidArgument);
+    }
+    http_request sound{"GET", "/a%20b", "c=d", {}, "", ""};
+    sound.fields.Add("Name", "a b&+#%\xc3\xa9");
+    EXPECT_TRUE((*opened)->Send(sound, milliseconds(2000), yield, true));
+  });
+  std::string received;
+  SpawnTask(io, [&](auto yield) {
+    boost::system::error_code ec;
+    tcp::socket socket(io);
+    acceptor.async_accept(socket, yield[ec]);
+    asio::async_read_until(socket, asio::dynamic_buffer(received), "\r\n\r\n",
+                           yield[ec]);
+  });
+  io.run_for(std::chrono::seconds(10));
+  EXPECT_EQ(received.rfind("GET /a%20b?c=d HTTP/1.1\r\n", 0), 0U) << received;
+}
+
 }  // namespace
 }  // namespace bluebell::gateway
--- a/packages/serving/engine_record.h
+++ b/packages/serving/engine_record.h
@@ -7,15 +7,29 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <tuple>
 #include <vector>
 
+#include "base/field_text.h"
 #include "base/ids.h"
 #include "serving/serving_config.h"
 #include "serving/store_version.h"
 
 namespace bluebell::serving {
 
+/// Whether requests can name an engine by `id`. Other writers store records,
+/// too, under names that a request's head cannot carry.
+inline bool IsEngineId(std::string_view id) {
+  return !id.empty() && IsFieldText(id);
+}
+
+/// The software version that a record states; empty if hosts cannot pass it on
+/// to each other in a request's head.
+inline software_version VersionFromRecord(const std::string& text) {
+  return software_version(IsFieldText(text) ? text : std::string());
+}
+
 /// The models that an engine has in accelerator memory, each with the adapters
 /// loaded for it.
 using resident_models = std::map<model_id, std::set<adapter_id>>;
--- a/packages/serving/sync_messages.cpp
+++ b/packages/serving/sync_messages.cpp
@@ -50,7 +50,7 @@
     record.on_disk.insert(model_id(model.get<std::string>()));
   }
   if (row.size() > 10) {
-    record.software = software_version(row[10].get<std::string>());
+    record.software = VersionFromRecord(row[10].get_ref<const std::string&>());
   }
   if (row.size() > 11) {
     record.cold_remaining =
@@ -121,7 +121,10 @@
     response.records.to = ReadInteger<std::uint64_t>(in.at(5));
     response.records.end = ReadInteger<std::uint64_t>(in.at(6));
     for (const auto& row : in.at(7)) {
-      response.records.changed.push_back(DecodeRecord(row));
+      auto record = DecodeRecord(row);
+      // A host of an older build passes on names that no request can carry.
+      if (!IsEngineId(record.id.value())) continue;
+      response.records.changed.push_back(std::move(record));
     }
     for (const auto& id : in.at(8)) {
       response.records.removed.push_back(endpoint_id(id.get<std::string>()));
--- a/packages/serving/tests/record_log_test.cpp
+++ b/packages/serving/tests/record_log_test.cpp
@@ -176,5 +176,26 @@
   EXPECT_FALSE(log.Records().at(0).leaving) << "another process";
 }
 
+// Guards against a name that no request can carry, or a version, which a host
+// of an older build passes on.
+TEST(record_log, FollowersTakeNoRecordThatRequestsCannotName) {
+  record_log log("first");
+  auto odd = MakeRecord(2, 2);
+  odd.id = endpoint_id("e2\r\nX-Injected: 1");
+  auto nameless = MakeRecord(3, 2);
+  nameless.id = endpoint_id("");
+  auto versioned = MakeRecord(4, 2);
+  versioned.software = software_version("v1\r\nX-Injected: 1");
+  log.Update({1, 1}, {MakeRecord(1, 2), odd, nameless, versioned}, false);
+  const auto decoded = DecodeSyncResponse(
+      EncodeSyncResponse({1, 1, {}, log.Since(0, 16), 2, milliseconds(3)}));
+  ASSERT_TRUE(decoded);
+  const auto& changed = decoded->records.changed;
+  ASSERT_EQ(changed.size(), 2U);
+  EXPECT_EQ(changed[0], MakeRecord(1, 2));
+  EXPECT_EQ(changed[1].id, endpoint_id("e4"));
+  EXPECT_EQ(changed[1].software, software_version());
+}
+
 }  // namespace
 }  // namespace bluebell::serving
