Own interface: an odd element of a list costs only itself

An object whose value cannot be read could neither be read nor replaced.

Cause: a response was parsed as one document, and the first element that did not fit ended the reading. Elements are now read by themselves (base/raw_json). Those without a readable name are left out and reported as object_invalid, once for each change of their number. Those with a name stay, with an empty value, or version 0, since an object that is left out would count as removed.

--- a/packages/daemon/host_process.cpp
+++ b/packages/daemon/host_process.cpp
@@ -92,6 +92,11 @@
   store::http_store_options options;
   options.addresses = settings.platform_addresses;
   options.call_limit = settings.platform_timeout;
+  options.report_unreadable = [this](const std::string& target,
+                                     const std::string& detail) {
+    events.Record(event_id::kObjectInvalid,
+                  {{"object", target}, {"reason", detail}});
+  };
   auto created_store = store::http_object_store::Create(context, options);
   if (!created_store) return tl::unexpected(created_store.error());
   store = std::move(*created_store);
--- a/packages/store/http_object_store.cpp
+++ b/packages/store/http_object_store.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <deque>
+#include <map>
 #include <set>
 #include <utility>
 
@@ -15,6 +16,7 @@
 #include "base/byte_budget.h"
 #include "base/nested_json.h"
 #include "base/percent_encoding.h"
+#include "base/raw_json.h"
 #include "base/response_sequence.h"
 
 namespace bluebell::store {
@@ -42,7 +44,7 @@
 
 struct response {
   int status = 0;
-  json body;
+  std::string body;
 };
 
 using call_outcome = tl::expected<response, call_failure>;
@@ -57,29 +59,71 @@
   return target;
 }
 
-// The functions below throw `json::exception` if a field is missing or has the
-// wrong type.
-object ReadObject(const json& body) {
-  return {body.at("name").get<std::string>(),
-          revision(body.at("version").get<std::uint64_t>()), body.at("value")};
+// Reads a member by itself, so that others cannot spoil it; throws
+// `json::exception` if it is missing or has the wrong type.
+template <class T>
+T ReadMember(std::string_view object, std::string_view key) {
+  return ParseJson(RawMember(object, key)).get<T>();
+}
+
+// The value that a writer stored; null if it cannot be read.
+json ReadValue(std::string_view object) {
+  auto value = ParseJson(RawMember(object, "value"));
+  return value.is_discarded() ? json() : value;
 }
 
-object_list ReadList(const json& body) {
-  object_list list;
-  for (const auto& item : body.at("items")) {
-    list.items.push_back(ReadObject(item));
+// Throws `json::exception` if the name or the version cannot be read, or there
+// is no value.
+object ReadObject(std::string_view text) {
+  if (RawMember(text, "value").empty()) {
+    throw json::other_error::create(501, "no value", nullptr);
   }
-  list.as_of = revision(body.at("revision").get<std::uint64_t>());
-  return list;
+  return {ReadMember<std::string>(text, "name"),
+          revision(ReadMember<std::uint64_t>(text, "version")),
+          ReadValue(text)};
 }
 
-std::vector<listed_host> ReadHosts(const json& body) {
-  std::vector<listed_host> hosts;
-  for (const auto& item : body.at("hosts")) {
-    hosts.push_back({host_id(item.at("id").get<std::string>()),
-                     item.at("state").get<std::string>() == "leaving"});
+// One element of a list, by itself. An unreadable version is 0, below that of
+// any object, since an object that is left out would count as removed.
+std::optional<object> ReadElement(std::string_view text,
+                                  const std::string& prefix) {
+  const auto name = ParseJson(RawMember(text, "name"));
+  if (!name.is_string()) return std::nullopt;
+  object read{name.get<std::string>(), revision(), ReadValue(text)};
+  if (read.name.compare(0, prefix.size(), prefix) != 0) return std::nullopt;
+  const auto version = ParseJson(RawMember(text, "version"));
+  if (version.is_number_unsigned()) {
+    read.version = revision(version.get<std::uint64_t>());
   }
-  return hosts;
+  return read;
+}
+
+std::optional<listed_host> ReadHost(std::string_view text) {
+  const auto id = ParseJson(RawMember(text, "id"));
+  const auto state = ParseJson(RawMember(text, "state"));
+  if (!id.is_string() || !state.is_string()) return std::nullopt;
+  return listed_host{host_id(id.get<std::string>()), state == "leaving"};
+}
+
+// Reads the elements of the array `key` of a response; counts those that cannot
+// be read. Throws `json::exception` if there is no such array.
+template <class T, class Reader>
+std::vector<T> ReadElements(std::string_view body, std::string_view key,
+                            Reader read, std::size_t& unreadable) {
+  const auto array = RawMember(body, key);
+  if (array.empty() || array.front() != '[') {
+    throw json::other_error::create(501, "no array " + std::string(key),
+                                    nullptr);
+  }
+  std::vector<T> elements;
+  for (const auto text : RawElements(array)) {
+    if (auto element = read(text)) {
+      elements.push_back(std::move(*element));
+    } else {
+      ++unreadable;
+    }
+  }
+  return elements;
 }
 
 // Converts the outcome of a read; `read` parses the response body.
@@ -117,7 +161,7 @@
   try {
     switch (outcome->status) {
       case 200:
-        return revision(outcome->body.at("version").get<std::uint64_t>());
+        return revision(ReadMember<std::uint64_t>(outcome->body, "version"));
       case 400:
         return FailWrite(failure_code::kInvalidArgument, "request refused");
       case 404:
@@ -125,7 +169,7 @@
                          write_conflict{});
       case 409: {
         write_conflict conflict;
-        if (!outcome->body.is_null()) {
+        if (!ParseJson(outcome->body).is_null()) {
           conflict.current = ReadObject(outcome->body);
         }
         return FailWrite(failure_code::kConflict, "version differs", conflict);
@@ -171,6 +215,11 @@
   std::unique_ptr<beast::tcp_stream> TakeIdle();
   void AddIdle(std::unique_ptr<beast::tcp_stream> stream);
   void SchedulePurge();
+  // Reports unreadable elements once for each change of their number.
+  void OnElements(const std::string& target, std::size_t unreadable_count);
+  // Reads the list at `target`, or waits for changes of it.
+  void List(call_request request, const std::string& prefix,
+            std::function<void(result<object_list>)> done);
 
   asio::io_context& context;
   http_store_options options;
@@ -180,6 +229,8 @@
   std::deque<idle_connection> idle;
   asio::steady_timer purge_timer;
   std::set<std::shared_ptr<call>> calls;
+  // Unreadable elements in the last response to each target that had some.
+  std::map<std::string, std::size_t> unreadable;
 };
 
 namespace {
@@ -330,7 +381,7 @@
   const auto is_final = responses_.Add(received.status);
   if (!is_final) return OnExchangeFailure(is_final.error().detail);
   if (!*is_final) return ReadResponse();
-  received.body = ParseJson(message.body());
+  received.body = std::move(message.body());
   // Bytes after the response would be parsed as the response to the next call.
   const bool reusable = message.keep_alive() && buffer_.size() == 0;
   const auto owner = client_.lock();
@@ -478,15 +529,47 @@
                 });
 }
 
+void http_object_store::client::OnElements(const std::string& target,
+                                           std::size_t unreadable_count) {
+  if (unreadable_count == 0) {
+    unreadable.erase(target);
+    return;
+  }
+  auto& reported = unreadable[target];
+  if (reported == unreadable_count) return;
+  reported = unreadable_count;
+  if (options.report_unreadable) {
+    options.report_unreadable(
+        target, std::to_string(unreadable_count) + " unreadable elements");
+  }
+}
+
+void http_object_store::client::List(
+    call_request request, const std::string& prefix,
+    std::function<void(result<object_list>)> done) {
+  const auto target = request.target;
+  Send(std::move(request), [this, target, prefix, done = std::move(done)](
+                               const call_outcome& outcome) {
+    std::size_t unreadable_count = 0;
+    auto list = ReadResult<object_list>(outcome, [&](const auto& body) {
+      return object_list{
+          ReadElements<object>(
+              body, "items",
+              [&](auto text) { return ReadElement(text, prefix); },
+              unreadable_count),
+          revision(ReadMember<std::uint64_t>(body, "revision"))};
+    });
+    if (list) OnElements(target, unreadable_count);
+    done(std::move(list));
+  });
+}
+
 void http_object_store::List(const std::string& prefix,
                              std::function<void(result<object_list>)> done) {
   call_request request;
   request.target = "/v1/list?prefix=" + Encode(prefix);
   request.limit = client_->options.call_limit;
-  client_->Send(std::move(request),
-                [done = std::move(done)](const call_outcome& outcome) {
-                  done(ReadResult<object_list>(outcome, ReadList));
-                });
+  client_->List(std::move(request), prefix, std::move(done));
 }
 
 void http_object_store::Watch(const std::string& prefix, revision after,
@@ -498,10 +581,7 @@
                    "&after=" + std::to_string(after.value()) +
                    "&wait_ms=" + std::to_string(wait.count());
   request.limit = wait + client_->options.watch_margin;
-  client_->Send(std::move(request),
-                [done = std::move(done)](const call_outcome& outcome) {
-                  done(ReadResult<object_list>(outcome, ReadList));
-                });
+  client_->List(std::move(request), prefix, std::move(done));
 }
 
 void http_object_store::ListHosts(
@@ -510,9 +590,17 @@
   call_request request;
   request.target = "/v1/hosts";
   request.limit = client_->options.call_limit;
+  const auto target = request.target;
   client_->Send(std::move(request),
-                [done = std::move(done)](const call_outcome& outcome) {
-                  done(ReadResult<hosts>(outcome, ReadHosts));
+                [client = client_.get(), target,
+                 done = std::move(done)](const call_outcome& outcome) {
+                  std::size_t unreadable_count = 0;
+                  auto list = ReadResult<hosts>(outcome, [&](const auto& body) {
+                    return ReadElements<listed_host>(body, "hosts", ReadHost,
+                                                     unreadable_count);
+                  });
+                  if (list) client->OnElements(target, unreadable_count);
+                  done(std::move(list));
                 });
 }
 
--- a/packages/store/http_object_store.h
+++ b/packages/store/http_object_store.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -20,6 +21,10 @@
   std::chrono::milliseconds watch_margin{2000};
   /// Idle time after which a kept-alive connection is closed.
   std::chrono::milliseconds idle_limit{5000};
+  /// Called with the target of a list in which elements cannot be read, which
+  /// are left out, whenever their number has changed.
+  std::function<void(const std::string& target, const std::string& detail)>
+      report_unreadable = nullptr;
 };
 
 /// The platform's object API over HTTP/1.1 on an `io_context`.
--- a/packages/store/tests/http_object_store_test.cpp
+++ b/packages/store/tests/http_object_store_test.cpp
@@ -64,8 +64,14 @@
   boost::asio::io_context context_;
   standins::answer_fault fault_ = standins::answer_fault::kNone;
   int status_ = 200;
+  /// Answers every call, if set.
+  std::string body_;
   http_server server_{context_, [this](const auto& exchange) {
-                        auto response = MakeResponse(exchange->request().path);
+                        http_response response;
+                        response.body = body_;
+                        if (body_.empty()) {
+                          response = MakeResponse(exchange->request().path);
+                        }
                         response.status = status_;
                         exchange->set_fault(fault_);
                         exchange->Send(std::move(response));
@@ -179,6 +185,90 @@
   EXPECT_EQ(server_.accepted(), 3);
 }
 
+// Guards against one odd element that hides a whole list, and against an
+// element without a readable version or value that counts as removed.
+TEST_F(http_store_test, OddElementOfAListCostsOnlyItself) {
+  http_store_options options;
+  std::vector<std::string> reports;
+  options.report_unreadable = [&](const auto& target, const auto& detail) {
+    reports.push_back(target + ": " + detail);
+  };
+  MakeStore(options);
+  const std::string nested =
+      std::string(100'000, '[') + std::string(100'000, ']');
+  const auto element = [](const std::string& name, const std::string& version,
+                          const std::string& value) {
+    return ",{\"name\":" + name + ",\"version\":" + version +
+           ",\"value\":" + value + "}";
+  };
+  const std::string unreadable =
+      ",7,null,\"a/x\",[],{}" + element("7", "1", "1") +
+      element("\"a\xff\"", "1", "1") + element("\"b/x\"", "1", "1") +
+      element("\"a\"", "1", "1");
+  body_ = "{\"items\":[{\"name\":\"a/1\",\"version\":5,\"value\":{\"b\":1}}" +
+          unreadable + element("\"a/2\"", "6", nested) +
+          element("\"a/3\"", "7", "\"\xff\"") +
+          element("\"a/4\"", "\"x\"", "3") + element("\"a/5\"", "8", "4") +
+          "],\"revision\":9}";
+  const auto list = [this] {
+    return Await<result<object_list>>(
+        [&](auto done) { store_->List("a/", std::move(done)); });
+  };
+  const auto watched = Await<result<object_list>>([&](auto done) {
+    store_->Watch("a/", revision(1), milliseconds(100), std::move(done));
+  });
+  for (const auto& listed : {list(), list(), watched}) {
+    ASSERT_TRUE(listed) << listed.error().detail;
+    EXPECT_EQ(listed->as_of, revision(9));
+    ASSERT_EQ(listed->items.size(), 5U);
+    EXPECT_EQ(listed->items[0].value, nlohmann::json({{"b", 1}}));
+    EXPECT_EQ(listed->items[1].name, "a/2");
+    EXPECT_EQ(listed->items[1].version, revision(6));
+    EXPECT_TRUE(listed->items[1].value.is_null());
+    EXPECT_TRUE(listed->items[2].value.is_null());
+    EXPECT_EQ(listed->items[3].version, revision());
+    EXPECT_EQ(listed->items[4].version, revision(8));
+  }
+  EXPECT_EQ(reports.size(), 2U) << "once for each target";
+  body_ = "{\"items\":7,\"revision\":9}";
+  EXPECT_FALSE(list());
+  body_ = "{\"items\":[]}";
+  EXPECT_FALSE(list());
+}
+
+TEST_F(http_store_test, OddHostOfAListCostsOnlyItself) {
+  MakeStore({});
+  body_ = R"({"hosts":[7,{"id":7,"state":"live"},{"id":"a","state":"leaving"},
+      {"id":"b"},{"id":"c","state":"live"}]})";
+  const auto hosts = Await<result<std::vector<listed_host>>>(
+      [&](auto done) { store_->ListHosts(std::move(done)); });
+  ASSERT_TRUE(hosts) << hosts.error().detail;
+  ASSERT_EQ(hosts->size(), 2U);
+  EXPECT_EQ(hosts->front().id, host_id("a"));
+  EXPECT_TRUE(hosts->front().leaving);
+  EXPECT_EQ(hosts->back().id, host_id("c"));
+}
+
+// Guards against an object that cannot be replaced, because its value cannot be
+// read.
+TEST_F(http_store_test, ObjectWithAnUnreadableValueIsRead) {
+  MakeStore({});
+  body_ = R"({"name":"a","version":3,"value":)" + std::string(100'000, '[') +
+          std::string(100'000, ']') + "}";
+  const auto got = Get("a");
+  ASSERT_TRUE(got) << got.error().detail;
+  EXPECT_EQ(got->version, revision(3));
+  EXPECT_TRUE(got->value.is_null());
+  status_ = 409;
+  const auto written = Put("a");
+  ASSERT_FALSE(written);
+  EXPECT_EQ(written.error().cause.code, error_code::kConflict);
+  EXPECT_TRUE(written.error().conflict->current);
+  status_ = 200;
+  body_ = R"({"name":"a","version":3})";
+  EXPECT_FALSE(Get("a"));
+}
+
 // Guards against an unreachable first address that fails every call.
 TEST_F(http_store_test, NextAddressIsUsedWhenOneRefuses) {
   http_server closed(context_, [](const auto&) {});
