Own interface: odd stored values do not stop placement

Cause: fields were read with a default for a missing member, which throws for one of another type. MemberOr (base/json_member) takes that for missing, too, so a lease without a readable host is free, as one without a host was already. The look-up of the controller by other hosts had the same cause.

OddStoredValuesDoNotStopPlacement failed before with a json type_error and passes now.

--- a/packages/daemon/demand_exchange.cpp
+++ b/packages/daemon/demand_exchange.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/json_member.h"
+
 namespace bluebell::daemon {
 namespace {
 
@@ -99,7 +101,7 @@
   store_.Get(kControllerLeaseKey, [this, alive = std::weak_ptr<char>(alive_)](
                                       const result<store::object>& found) {
     if (alive.expired() || !found || !found->value.is_object()) return;
-    controller_host_ = host_id(found->value.value("host", std::string()));
+    controller_host_ = host_id(MemberOr(found->value, "host", std::string()));
   });
 }
 
--- a/packages/placement/controller_lease.cpp
+++ b/packages/placement/controller_lease.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "base/digest.h"
+#include "base/json_member.h"
 
 namespace bluebell::placement {
 namespace {
@@ -76,10 +77,11 @@
 
 // Whether the lease is released, held by this host, or may be reclaimed.
 bool controller_lease::IsAvailable(const nlohmann::json& value) const {
-  const bool readable = value.is_object() && value.value("host", "") != "";
-  if (!readable || value.value("released", false)) return true;
-  const host_id host(value.value("host", ""));
-  const incarnation_id incarnation(value.value("incarnation", ""));
+  const std::string none;
+  const host_id host(MemberOr(value, "host", none));
+  const bool readable = !host.value().empty();
+  if (!readable || MemberOr(value, "released", false)) return true;
+  const incarnation_id incarnation(MemberOr(value, "incarnation", none));
   if (host == fleet_.self() && incarnation == fleet_.incarnation()) return true;
   return fleet_.MayReclaim(host, incarnation);
 }
@@ -136,21 +138,20 @@
 void controller_lease::ReadBack(const std::string& writer,
                                 std::function<void()> done) {
   busy_ = true;
-  store_.Get(kObjectName,
-             [self = std::weak_ptr<controller_lease*>(self_), writer,
-              done = std::move(done)](const result<store::object>& found) {
-               const auto lease = self.lock();
-               if (!lease) return;
-               (*lease)->busy_ = false;
-               if (found && found->value.is_object() &&
-                   found->value.value("writer", "") == writer) {
-                 (*lease)->ConfirmHeld(found->version.value(), done);
-               } else {
-                 // The write may still take effect, so the version is not
-                 // known.
-                 (*lease)->held_ = false;
-               }
-             });
+  store_.Get(kObjectName, [self = std::weak_ptr<controller_lease*>(self_),
+                           writer, done = std::move(done)](
+                              const result<store::object>& found) {
+    const auto lease = self.lock();
+    if (!lease) return;
+    (*lease)->busy_ = false;
+    if (found && MemberOr(found->value, "writer", std::string()) == writer) {
+      (*lease)->ConfirmHeld(found->version.value(), done);
+    } else {
+      // The write may still take effect, so the version is not
+      // known.
+      (*lease)->held_ = false;
+    }
+  });
 }
 
 }  // namespace bluebell::placement
--- a/packages/placement/intent_log.cpp
+++ b/packages/placement/intent_log.cpp
@@ -1,6 +1,7 @@
 #include "placement/intent_log.h"
 
 #include "base/digest.h"
+#include "base/json_member.h"
 
 namespace bluebell::placement {
 namespace {
@@ -104,8 +105,7 @@
                record& known = (*log)->records_[engine];
                known.busy = false;
                if (!found) return;
-               if (found->value.is_object() &&
-                   found->value.value("writer", "") == writer) {
+               if (MemberOr(found->value, "writer", std::string()) == writer) {
                  known.version = found->version.value();
                  known.written = targets;
                  done();
@@ -122,13 +122,12 @@
   known.version = found.version.value();
   known.written.clear();
   loads listed;
-  if (found.value.is_object()) {
-    for (const auto& load :
-         found.value.value("loads", nlohmann::json::array())) {
-      if (!load.is_object()) continue;
-      listed.emplace_back(load.value("target", ""),
-                          byte_count(load.value("memory_bytes", 0L)));
-    }
+  for (const auto& load :
+       MemberOr(found.value, "loads", nlohmann::json::array())) {
+    if (!load.is_object()) continue;
+    listed.emplace_back(
+        MemberOr(load, "target", std::string()),
+        byte_count(MemberOr(load, "memory_bytes", std::int64_t{0})));
   }
   merge_(engine, listed);
 }
--- a/packages/placement/tests/controller_test.cpp
+++ b/packages/placement/tests/controller_test.cpp
@@ -150,6 +150,33 @@
   EXPECT_FALSE(hosts_[0]->control.in_control());
 }
 
+// Guards against stored values of another writer that keep every host from the
+// lease, or from the loads of earlier controllers, so that nothing is placed.
+TEST_F(placement_test, OddStoredValuesDoNotStopPlacement) {
+  const std::vector<std::string> leases = {
+      R"({"host":7})", R"({"host":"x","released":"no","incarnation":7})",
+      R"({"host":null,"released":true})", "null", "[]"};
+  const std::vector<std::string> intents = {
+      R"({"loads":[{"target":7,"memory_bytes":"x"},5]})", R"({"loads":"x"})",
+      R"({"loads":7,"writer":7})", "null"};
+  for (const auto& lease : leases) {
+    SCOPED_TRACE(lease);
+    hosts_.clear();
+    Build(4, 4, 4, 0, 45);
+    platform_->Seed("controller/lease", nlohmann::json::parse(lease));
+    int engine = 0;
+    for (const auto& intent : intents) {
+      platform_->Seed("placement/e" + std::to_string(engine++),
+                      nlohmann::json::parse(intent));
+    }
+    AddHost("a");
+    clock_.Advance(seconds(60));
+    EXPECT_TRUE(hosts_[0]->control.in_control());
+    EXPECT_EQ(fleet_->Unreachable(), std::vector<std::string>());
+  }
+  hosts_.clear();
+}
+
 // Guards against lease reads that grow with the fleet: all reads share the
 // platform's limit of 2,000 a second.
 TEST_F(placement_test, HostWithoutControlReadsTheLeaseRarely) {
