Soak and pages: entries of another writer

The soak's store pages by three, decodes targets, begins lists only after names that it has, and holds entries of another writer in all kinds, some for the whole run and some as faults.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -46,6 +46,10 @@
 judge requests that a fault touched, and CHECKED fails a run in which it judged
 under a third of the requests around stops.
 
+The store has short pages and holds entries of another writer, some for the whole
+run, under names that a target cannot hold as they are, or none. They excuse
+nothing.
+
 With --mixed-callers some callers send their next request early, read large
 answers slowly, or use a connection at its idle time-out, the limits of the
 configuration change, and sound engines fall silent for a second. With
@@ -54,8 +58,9 @@
 
 Usage: soak.py [--seed N] [--seeds N] [--seconds S] [--hosts N] [--keep DIR]
                [--program PATH] [--crash-parts] [--mixed-callers]
-               [--log-faults] [--zones N,N,..] [--share S] [--descriptors N]
-               [--data-mb N] [--memory-mb N] [--idle-connections N]
+               [--log-faults] [--sound-entries] [--zones N,N,..] [--share S]
+               [--descriptors N] [--data-mb N] [--memory-mb N]
+               [--idle-connections N]
 Ends only processes that it started, by their ids.
 """
 import argparse
@@ -73,6 +78,7 @@
 import sys
 import tempfile
 import time
+import urllib.parse
 
 REVOKE_S = 5.0
 GRACE_S = 8
@@ -261,10 +267,18 @@
         self.opened.close()
 
 
+# Names that another writer may choose: a target holds them only in another
+# form. None: an entry without a readable name.
+ODD_SUFFIXES = (" b", "&b", "+b", "#b", "%", "%26b", "?b", "\nb", "\x7fb",
+                "\r\nX-Injected: 1", "\u00e9", None)
+
+
 class Store:
-    """The users' object store: revisions, conditional writes, faults."""
+    """The users' object store: revisions, conditional writes, short pages,
+    faults. A list begins only after a name that an object of its kind has."""
 
     COPIES_S = 12
+    PAGE = 3
     # What the operator and the engines write; they write it again after a
     # restoration.
     OTHERS = ("config", "servers", "evacuations")
@@ -312,16 +326,39 @@
         self.revision += 1
         return self.objects.pop((kind, name), None)
 
+    def put_odd(self, kind, rng):
+        """Stores an entry of another writer behind a random one, and returns
+        its name in the store."""
+        names = [n for k, n in self.objects if k == kind] or ["a"]
+        suffix = rng.choice(ODD_SUFFIXES)
+        name = rng.choice(names) + ("x" if suffix is None else suffix)
+        entry = self.put(kind, name, "odd")
+        if suffix is None:
+            entry["metadata"]["name"] = rng.choice([None, "", 7])
+        return name
+
+    def list(self, kind, query):
+        names = sorted(n for k, n in self.objects if k == kind)
+        if "after" in query:
+            if query["after"] not in names:
+                return 400, {}
+            names = names[names.index(query["after"]) + 1:]
+        return 200, {"items": [self.objects[(kind, n)]
+                               for n in names[:self.PAGE]],
+                     "more_pages": len(names) > self.PAGE,
+                     "store_revision": self.revision}
+
     def call(self, method, target, body):
-        path = target.split("?")[0].split("/")[2:]
+        parts = urllib.parse.urlsplit(target)
+        path = [urllib.parse.unquote(p) for p in parts.path.split("/")[2:]]
+        query = dict(urllib.parse.parse_qsl(parts.query))
         kind, name = path[0], path[1] if len(path) > 1 else ""
+        if set(query) - {"after", "serializable", "revision"}:
+            return 400, {}
         found = self.objects.get((kind, name))
         if method == "GET":
             if not name:
-                items = [o for (k, _), o in sorted(self.objects.items())
-                         if k == kind]
-                return 200, {"items": items, "more_pages": False,
-                             "store_revision": self.revision}
+                return self.list(kind, query)
             return (200, found) if found else (404, {})
         if method == "DELETE":
             return 200, self.remove(kind, name) or {}
@@ -345,6 +382,9 @@
                     return
                 first, fields = head
                 body = await read_body(reader, fields)
+                if len(first.split(" ")) != 3 or "x-injected" in fields:
+                    writer.write(message("HTTP/1.1 400 Bad", {}))
+                    return
                 method, target, _ = first.split(" ")
                 if self.mode == "silent":
                     await asyncio.sleep(30)
@@ -1142,10 +1182,15 @@
 
 
 class Soak:
+    ODD_PLACES = ("servers", "entry-hosts", "evacuations", "stream-versions",
+                  "quarantined-parts")
+
     def __init__(self, seed, options, folder):
         self.rng, self.schedule = random.Random(seed), random.Random(seed)
         self.seconds, self.folder = options.seconds, folder
         self.seed, self.host_count = seed, options.hosts
+        # Kinds of the store in which another writer leaves entries.
+        self.odd_places = () if options.sound_entries else self.ODD_PLACES
         self.program, self.replacement = options.program, options.replace
         if self.replacement and seed % 2 == 1:
             self.program, self.replacement = self.replacement, self.program
@@ -1615,7 +1660,7 @@
         kinds = ["kill", "term", "term_kill", "freeze", "term_freeze", "store",
                  "store_link", "engine", "engine_link", "reset", "config",
                  "revoke", "hup", "engine_gone", "planned", "restored",
-                 "states"]
+                 "states", "odd_entry"]
         if self.options.share:
             kinds += ["slow", "slow"]
         kind = rng.choice(kinds)
@@ -1688,6 +1733,12 @@
                 if spec:
                     engine.enlist()
             await self.harm(engine.key, span, lambda: None, end)
+        elif kind == "odd_entry" and self.odd_places:
+            place = rng.choice(self.odd_places)
+            name = self.store.put_odd(place, rng)
+            self.note(f"odd entry {name!r} in {place} for {span:.1f} s")
+            await asyncio.sleep(span)
+            self.store.remove(place, name)
         elif kind == "config":
             self.write_config()
         elif kind == "revoke":
@@ -2109,6 +2160,11 @@
         self.all_engines = list(self.engines)
         for engine in self.engines:
             await engine.start()
+        # From numbers of their own, to leave the schedule as it is.
+        odd = random.Random(f"odd entries {self.seed}")
+        for place in self.odd_places:
+            for _ in range(4):
+                self.store.put_odd(place, odd)
         self.write_config()
         self.hosts = [Host(self, number, base + 6 * number)
                       for number in range(self.host_count)]
@@ -2209,6 +2265,9 @@
                              "at their time-out, changing limits")
     parser.add_argument("--log-faults", action="store_true",
                         help="readers of logs stall or go away")
+    parser.add_argument("--sound-entries", action="store_true",
+                        help="no entries of another writer, for builds that "
+                             "cannot read past them")
     parser.add_argument("--zones", help="hosts per zone, as in 2,3,1; else they "
                              "alternate between two zones",
                         type=lambda text: [int(n) for n in text.split(",")])
