--- a/packages/edge/store_sync.cpp
+++ b/packages/edge/store_sync.cpp
@@ -115,7 +115,7 @@
     OnStoreRead("engines", now, read.has_value(),
                 read ? std::string() : read.error().detail);
     if (read) {
-      log_.Update(read->version, WithUnread(*read),
+      log_.Update(read->version, *WithUnread(*read),
                   host_.store_contact.MayLackRecords());
       if (Supersede({kOwnReads, "", log_.end()}, log_.version(), now)) {
         host_.records.Apply(log_.version(), log_.Records(), log_.Kept(),
@@ -141,13 +141,14 @@
   }
 }
 
-std::vector<serving::engine_record> store_sync::WithUnread(
-    const serving::engine_listing& listing) const {
-  auto records = *listing.records;
-  if (!listing.read_to) return records;
+std::shared_ptr<const std::vector<serving::engine_record>>
+store_sync::WithUnread(const serving::engine_listing& listing) const {
+  if (!listing.read_to) return listing.records;
+  auto records =
+      std::make_shared<std::vector<serving::engine_record>>(*listing.records);
   std::set<endpoint_id> ids;
   std::set<std::string> addresses;
-  for (const auto& record : records) {
+  for (const auto& record : *records) {
     ids.insert(record.id);
     addresses.insert(record.address);
   }
@@ -155,7 +156,7 @@
     // Another endpoint uses the address now.
     if (addresses.count(engine.record.address)) continue;
     if (*listing.read_to < id && !ids.count(id)) {
-      records.push_back(engine.record);
+      records->push_back(engine.record);
     }
   }
   return records;
--- a/packages/edge/store_sync.h
+++ b/packages/edge/store_sync.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/spawn.hpp>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -73,9 +74,9 @@
   bool Supersede(const record_source& source,
                  const serving::store_version& version,
                  clock::time_point read_at);
-  // The records of a listing, and those in effect of endpoints behind its end
-  // if it is not whole.
-  std::vector<serving::engine_record> WithUnread(
+  // The records of a listing and, if it is not whole, those in effect of
+  // endpoints behind its end.
+  std::shared_ptr<const std::vector<serving::engine_record>> WithUnread(
       const serving::engine_listing& listing) const;
   // Lists the evacuated zones; returns whether this succeeded.
   bool ReadEvacuations(boost::asio::yield_context yield);
