--- a/packages/store/object_store.h
+++ b/packages/store/object_store.h
@@ -12,7 +12,8 @@
 
 namespace bluebell::store {
 
-/// One object of the platform's object API.
+/// One object of the platform's object API. Writers may store anything: a value
+/// that cannot be read is null.
 struct object {
   std::string name;
   revision version;
