--- a/packages/daemon/tests/hosted_memory_test.cpp
+++ b/packages/daemon/tests/hosted_memory_test.cpp
@@ -186,6 +186,20 @@
    "header_timeout_ms":5000,"idle_timeout_ms":15000},
  "tenants":[{"name":"acme","api_keys":["k1"],"rate_per_s":0,"burst":0}]}})";
 
+// Begins the names of forms that are pages of a list without end.
+const char kPages[] = "pages";
+// Stands for the number of the call in a page.
+const char kCallMark[] = "$CALL";
+
+std::string Replaced(std::string text, const std::string& mark,
+                     const std::string& by) {
+  for (auto at = text.find(mark); at != text.npos;
+       at = text.find(mark, at + by.size())) {
+    text.replace(at, mark.size(), by);
+  }
+  return text;
+}
+
 const char kListEnd[] = R"(],"more_pages":false,"store_revision":9})";
 
 // A host program between a store and an engine whose answers have no end.
@@ -343,14 +357,15 @@
       if (head.empty()) return;
       ++store_calls_;
       const auto form = Get(store_form_);
-      if (form != nullptr && form->name != "pages") {
+      const bool pages = form != nullptr && form->name.rfind(kPages, 0) == 0;
+      if (form != nullptr && !pages) {
         return WriteEndlessly(socket, *form, yield);
       }
       std::string body = "{\"items\":[";
       const bool engines = head.rfind("GET /objects/servers", 0) == 0;
       std::string status = "200 OK";
       if (form != nullptr && head.rfind("GET", 0) == 0) {
-        body += form->part;
+        body += Replaced(form->part, kCallMark, std::to_string(store_calls_));
       } else if (head.rfind("GET /objects/config/main", 0) == 0) {
         body = kConfig;
       } else if (head.rfind("GET", 0) != 0) {
@@ -446,14 +461,19 @@
 // without end.
 TEST_F(hosted_memory, EndlessAnswersOfTheStore) {
   auto forms = Answers("Store-Era: 1\r\n");
-  std::string page;
-  for (int i = 0; i < 500; ++i) {
-    page += std::string(i == 0 ? "" : ",") + R"({"metadata":{"name":"o)" +
-            std::to_string(i) + R"(","revision":3},"spec":{"text":")" +
-            std::string(2000, 'x') + R"("}})";
-  }
-  forms.push_back(
-      {"pages", "", page + R"(],"more_pages":true,"store_revision":9})"});
+  const auto page = [](const std::string& prefix) {
+    std::string items;
+    for (int i = 0; i < 500; ++i) {
+      items += std::string(i == 0 ? "" : ",") + R"({"metadata":{"name":")" +
+               prefix + std::to_string(i) +
+               R"(","revision":3},"spec":{"text":")" + std::string(2000, 'x') +
+               R"("}})";
+    }
+    return items + R"(],"more_pages":true,"store_revision":9})";
+  };
+  // Each page has names of its own; or all are the same, which ends the list.
+  forms.push_back({kPages, "", page("o" + std::string(kCallMark) + "-")});
+  forms.push_back({std::string(kPages) + "_repeated", "", page("o"), false});
   for (const auto& form : forms) {
     ASSERT_NO_FATAL_FAILURE(Start());
     Set(store_form_, std::make_shared<endless_form>(form));
