--- a/packages/base/raw_json.cpp
+++ b/packages/base/raw_json.cpp
@@ -2,6 +2,8 @@
 
 #include <string>
 
+#include "base/nested_json.h"
+
 namespace bluebell {
 namespace {
 
@@ -70,4 +72,16 @@
   return {};
 }
 
+nlohmann::json ReadMember(std::string_view text, std::string_view key) {
+  const auto member = RawMember(text, key);
+  return member.empty() ? nlohmann::json() : ParseJson(member);
+}
+
+std::optional<std::uint64_t> ReadUnsigned(std::string_view text,
+                                          std::string_view key) {
+  const auto number = ReadMember(text, key);
+  if (!number.is_number_unsigned()) return std::nullopt;
+  return number.get<std::uint64_t>();
+}
+
 }  // namespace bluebell
--- a/packages/base/tests/raw_json_test.cpp
+++ b/packages/base/tests/raw_json_test.cpp
@@ -37,5 +37,19 @@
   EXPECT_EQ(RawMember("", "a"), "");
 }
 
+// Guards against a member that cannot be read and spoils its neighbours, and
+// against other values that count as a number.
+TEST(raw_json, MembersAreReadByThemselves) {
+  const char object[] =
+      R"({"a":tru,"b":7,"c":-1,"d":1.5,"e":"7","f":null,"g":1e999})";
+  EXPECT_TRUE(ReadMember(object, "a").is_discarded());
+  EXPECT_EQ(ReadMember(object, "e"), "7");
+  EXPECT_TRUE(ReadMember(object, "h").is_null());
+  EXPECT_EQ(ReadUnsigned(object, "b"), 7U);
+  for (const char* key : {"a", "c", "d", "e", "f", "g", "h"}) {
+    EXPECT_EQ(ReadUnsigned(object, key), std::nullopt) << key;
+  }
+}
+
 }  // namespace
 }  // namespace bluebell
--- a/packages/placement/controller_lease.cpp
+++ b/packages/placement/controller_lease.cpp
@@ -147,8 +147,7 @@
     if (found && MemberOr(found->value, "writer", std::string()) == writer) {
       (*lease)->ConfirmHeld(found->version.value(), done);
     } else {
-      // The write may still take effect, so the version is not
-      // known.
+      // The write may still take effect, so the version is not known.
       (*lease)->held_ = false;
     }
   });
--- a/packages/store/http_object_store.cpp
+++ b/packages/store/http_object_store.cpp
@@ -59,48 +59,42 @@
   return target;
 }
 
-// Reads a member by itself, so that others cannot spoil it; throws
-// `json::exception` if it is missing or has the wrong type.
-template <class T>
-T ReadMember(std::string_view object, std::string_view key) {
-  return ParseJson(RawMember(object, key)).get<T>();
+// The value that a writer stored, from its text; null if it cannot be read.
+json ReadValue(std::string_view text) {
+  auto value = ParseJson(text);
+  return value.is_discarded() ? json() : value;
 }
 
-// The value that a writer stored; null if it cannot be read.
-json ReadValue(std::string_view object) {
-  auto value = ParseJson(RawMember(object, "value"));
-  return value.is_discarded() ? json() : value;
+// Throws `json::exception` if the version cannot be read.
+revision ReadVersion(std::string_view text) {
+  return revision(ReadMember(text, "version").get<std::uint64_t>());
 }
 
 // Throws `json::exception` if the name or the version cannot be read, or there
 // is no value.
 object ReadObject(std::string_view text) {
-  if (RawMember(text, "value").empty()) {
-    throw json::other_error::create(501, "no value", nullptr);
-  }
-  return {ReadMember<std::string>(text, "name"),
-          revision(ReadMember<std::uint64_t>(text, "version")),
-          ReadValue(text)};
+  const auto value = RawMember(text, "value");
+  if (value.empty()) throw json::other_error::create(501, "no value", nullptr);
+  return {ReadMember(text, "name").get<std::string>(), ReadVersion(text),
+          ReadValue(value)};
 }
 
 // One element of a list, by itself. An unreadable version is 0, below that of
 // any object, since an object that is left out would count as removed.
 std::optional<object> ReadElement(std::string_view text,
                                   const std::string& prefix) {
-  const auto name = ParseJson(RawMember(text, "name"));
-  if (!name.is_string()) return std::nullopt;
-  object read{name.get<std::string>(), revision(), ReadValue(text)};
-  if (read.name.compare(0, prefix.size(), prefix) != 0) return std::nullopt;
-  const auto version = ParseJson(RawMember(text, "version"));
-  if (version.is_number_unsigned()) {
-    read.version = revision(version.get<std::uint64_t>());
-  }
-  return read;
+  const auto read = ReadMember(text, "name");
+  if (!read.is_string()) return std::nullopt;
+  auto name = read.get<std::string>();
+  if (name.compare(0, prefix.size(), prefix) != 0) return std::nullopt;
+  return object{std::move(name),
+                revision(ReadUnsigned(text, "version").value_or(0)),
+                ReadValue(RawMember(text, "value"))};
 }
 
 std::optional<listed_host> ReadHost(std::string_view text) {
-  const auto id = ParseJson(RawMember(text, "id"));
-  const auto state = ParseJson(RawMember(text, "state"));
+  const auto id = ReadMember(text, "id");
+  const auto state = ReadMember(text, "state");
   if (!id.is_string() || !state.is_string()) return std::nullopt;
   return listed_host{host_id(id.get<std::string>()), state == "leaving"};
 }
@@ -161,7 +155,7 @@
   try {
     switch (outcome->status) {
       case 200:
-        return revision(ReadMember<std::uint64_t>(outcome->body, "version"));
+        return ReadVersion(outcome->body);
       case 400:
         return FailWrite(failure_code::kInvalidArgument, "request refused");
       case 404:
@@ -217,7 +211,12 @@
   void SchedulePurge();
   // Reports unreadable elements once for each change of their number.
   void OnElements(const std::string& target, std::size_t unreadable_count);
-  // Reads the list at `target`, or waits for changes of it.
+  // Sends a request for a list. `read` reads its body and counts the elements
+  // that cannot be read.
+  template <class T, class Reader>
+  void SendList(call_request request, Reader read,
+                std::function<void(result<T>)> done);
+  // Reads the objects under `prefix`, or waits for changes of them.
   void List(call_request request, const std::string& prefix,
             std::function<void(result<object_list>)> done);
 
@@ -544,26 +543,34 @@
   }
 }
 
-void http_object_store::client::List(
-    call_request request, const std::string& prefix,
-    std::function<void(result<object_list>)> done) {
+template <class T, class Reader>
+void http_object_store::client::SendList(call_request request, Reader read,
+                                         std::function<void(result<T>)> done) {
   const auto target = request.target;
-  Send(std::move(request), [this, target, prefix, done = std::move(done)](
+  Send(std::move(request), [this, target, read, done = std::move(done)](
                                const call_outcome& outcome) {
     std::size_t unreadable_count = 0;
-    auto list = ReadResult<object_list>(outcome, [&](const auto& body) {
-      return object_list{
-          ReadElements<object>(
-              body, "items",
-              [&](auto text) { return ReadElement(text, prefix); },
-              unreadable_count),
-          revision(ReadMember<std::uint64_t>(body, "revision"))};
+    auto list = ReadResult<T>(outcome, [&](const auto& body) {
+      return read(body, unreadable_count);
     });
     if (list) OnElements(target, unreadable_count);
     done(std::move(list));
   });
 }
 
+void http_object_store::client::List(
+    call_request request, const std::string& prefix,
+    std::function<void(result<object_list>)> done) {
+  const auto read = [prefix](const std::string& body,
+                             std::size_t& unreadable_count) {
+    const auto element = [&](auto text) { return ReadElement(text, prefix); };
+    return object_list{
+        ReadElements<object>(body, "items", element, unreadable_count),
+        revision(ReadMember(body, "revision").get<std::uint64_t>())};
+  };
+  SendList<object_list>(std::move(request), read, std::move(done));
+}
+
 void http_object_store::List(const std::string& prefix,
                              std::function<void(result<object_list>)> done) {
   call_request request;
@@ -590,18 +597,10 @@
   call_request request;
   request.target = "/v1/hosts";
   request.limit = client_->options.call_limit;
-  const auto target = request.target;
-  client_->Send(std::move(request),
-                [client = client_.get(), target,
-                 done = std::move(done)](const call_outcome& outcome) {
-                  std::size_t unreadable_count = 0;
-                  auto list = ReadResult<hosts>(outcome, [&](const auto& body) {
-                    return ReadElements<listed_host>(body, "hosts", ReadHost,
-                                                     unreadable_count);
-                  });
-                  if (list) client->OnElements(target, unreadable_count);
-                  done(std::move(list));
-                });
+  const auto read = [](const std::string& body, std::size_t& unreadable_count) {
+    return ReadElements<listed_host>(body, "hosts", ReadHost, unreadable_count);
+  };
+  client_->SendList<hosts>(std::move(request), read, std::move(done));
 }
 
 }  // namespace bluebell::store
