hosted_memory: no script is unwound at the end of a test

Cause: the test ended while its store was writing a page. The suspended task was unwound by an exception, which the address sanitizer cannot follow (stack-use-after-scope within its own sigaltstack).

--- a/packages/daemon/tests/hosted_memory_test.cpp
+++ b/packages/daemon/tests/hosted_memory_test.cpp
@@ -121,6 +121,8 @@
   std::string address() const {
     return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
   }
+  /// Connections whose script has not ended.
+  int open() const { return open_; }
 
  private:
   void Accept(asio::yield_context yield) {
@@ -129,14 +131,18 @@
       failure ended;
       acceptor_.async_accept(*socket, yield[ended]);
       if (ended) return;
-      gateway::SpawnTask(io_,
-                         [this, socket](auto inner) { run_(*socket, inner); });
+      gateway::SpawnTask(io_, [this, socket](auto inner) {
+        ++open_;
+        run_(*socket, inner);
+        --open_;
+      });
     }
   }
 
   asio::io_context& io_;
   tcp::acceptor acceptor_;
   script run_;
+  std::atomic<int> open_ = 0;
 };
 
 // Reads one request, head and body; returns its head, or nothing at the end of
@@ -211,6 +217,9 @@
 
   ~hosted_memory() override {
     host_.reset();
+    // A script that is suspended in a write would be unwound by an exception,
+    // which the address sanitizer cannot follow.
+    WaitUntil([this] { return engine_.open() + store_.open() == 0; });
     io_.stop();
     thread_.join();
     // Coroutines that are suspended are not unwound.
