Reads of the configuration: logs tell phase, bytes and times

A failed read said only that a time limit had passed, once until the next read of any kind succeeded, so a narrow link, a slow store, a blocked event loop and a store that turns hosts away looked alike. Each failed read of the configuration is logged with its phase, the bytes that had arrived and its duration; a configuration that arrives with its size and the times of transfer and decoding; and the first news of a newer version by itself.

--- a/packages/daemon/program/bluebellraild.cpp
+++ b/packages/daemon/program/bluebellraild.cpp
@@ -193,6 +193,9 @@
       store_->OnIncomplete([this](const auto& kind, const auto& cause) {
         if (host_ != nullptr) host_->LogListEnd(kind, cause);
       });
+      store_->OnConfigRead([this](auto bytes, auto transfer, auto decoding) {
+        if (host_ != nullptr) host_->LogConfigRead(bytes, transfer, decoding);
+      });
       store_->OnCutOff([this](auto cause) {
         if (host_ != nullptr) host_->ReportStoreCutOff(cause);
       });
--- a/packages/edge/edge_host.cpp
+++ b/packages/edge/edge_host.cpp
@@ -561,6 +561,14 @@
                          {{"kind", kind}, {"detail", cause}});
 }
 
+void edge_host::LogConfigRead(std::size_t bytes, clock::duration transfer,
+                              clock::duration decoding) {
+  impl_->state.log.Write("config_read",
+                         {{"bytes", std::to_string(bytes)},
+                          {"transfer_ms", MillisecondText(transfer)},
+                          {"decoding_ms", MillisecondText(decoding)}});
+}
+
 void edge_host::ReportStoreCutOff(gateway::excess cause) {
   ReportCutOff(impl_->state, "store", impl_->state.settings.store_address,
                cause);
--- a/packages/edge/edge_host.h
+++ b/packages/edge/edge_host.h
@@ -45,6 +45,10 @@
   /// Logs that the store's list of a kind can no longer be read to its end, or,
   /// without a `cause`, that it can again.
   void LogListEnd(const std::string& kind, const std::string& cause);
+  /// Logs that another configuration has arrived: its size, the time since its
+  /// read was sent, and that of decoding it.
+  void LogConfigRead(std::size_t bytes, clock::duration transfer,
+                     clock::duration decoding);
   /// Logs and counts a connection to the store that was cut off.
   void ReportStoreCutOff(gateway::excess cause);
 
--- a/packages/edge/store_sync.cpp
+++ b/packages/edge/store_sync.cpp
@@ -66,7 +66,7 @@
   auto read = host_.store.ReadConfig(yield);
   OnStoreRead("config", sent, read.has_value(),
               read ? std::string() : read.error().detail);
-  if (!read) return;
+  if (!read) return LogConfigNotRead(read.error().detail);
   if (host_.config == nullptr) AwaitPeers(yield);
   const auto newest = NewestConfig();
   if ((*read)->version < newest) {
@@ -95,7 +95,13 @@
 }
 
 void store_sync::OnPeerConfig(std::uint64_t version) {
+  const bool is_news = version > NewestConfig();
   newest_version_ = std::max(newest_version_, version);
+  if (!is_news || host_.config == nullptr) return;
+  host_.log.Write("config_superseded",
+                  {{"version", std::to_string(host_.config->version)},
+                   {"newest", std::to_string(version)},
+                   {"config_age_ms", ConfigAgeText()}});
 }
 
 std::uint64_t store_sync::NewestConfig() const {
@@ -358,15 +364,25 @@
   }
   if (answered == !store_lost_) return;
   store_lost_ = !answered;
-  const auto age = host_.freshness.Age();
   host_.log.Write(
       answered ? "store_regained" : "store_lost",
-      {{"read", what},
+      {{"read", what}, {"detail", why}, {"config_age_ms", ConfigAgeText()}});
+}
+
+// Each failure is logged, also while `store_lost` was logged for another read.
+void store_sync::LogConfigNotRead(const std::string& why) {
+  host_.log.Write(
+      "config_not_read",
+      {{"version",
+        host_.config == nullptr ? "" : std::to_string(host_.config->version)},
+       {"newest", std::to_string(NewestConfig())},
        {"detail", why},
-       {"config_age_ms",
-        age ? std::to_string(
-                  std::chrono::duration_cast<milliseconds>(*age).count())
-            : ""}});
+       {"config_age_ms", ConfigAgeText()}});
+}
+
+std::string store_sync::ConfigAgeText() const {
+  const auto age = host_.freshness.Age();
+  return age ? MillisecondText(*age) : "";
 }
 
 void store_sync::OnEra(std::uint64_t era) {
--- a/packages/edge/store_sync.h
+++ b/packages/edge/store_sync.h
@@ -56,6 +56,9 @@
   void ReadConfig(boost::asio::yield_context yield);
   // Waits until other hosts had the time to report the newest version.
   void AwaitPeers(boost::asio::yield_context yield);
+  void LogConfigNotRead(const std::string& why);
+  /// Time since the configuration was known to be current; empty if never.
+  std::string ConfigAgeText() const;
   void OnStoreRead(const char* what, clock::time_point sent, bool answered,
                    const std::string& why);
   // `era` was reported by the store or by another host.
--- a/packages/gateway/endpoint_connection.cpp
+++ b/packages/gateway/endpoint_connection.cpp
@@ -268,22 +268,28 @@
   };
   std::string body;
   const auto& parser = *state_->parser;
-  if (!parser.is_done() && parser.content_length()) {
-    const auto length = *parser.content_length();
-    if (length > limit) {
+  const auto length = parser.content_length();
+  const auto fail = [&](const error& cause) {
+    return Fail(cause.code,
+                cause.detail + " after " + std::to_string(body.size()) +
+                    (length ? " of " + std::to_string(*length) : "") +
+                    " bytes");
+  };
+  if (!parser.is_done() && length) {
+    if (*length > limit) {
       CutOff(excess::kBody);
       return Fail(error_code::kTooLarge, "the answer is too large");
     }
-    if (!Reserve(body, static_cast<std::size_t>(length), held)) {
+    if (!Reserve(body, static_cast<std::size_t>(*length), held)) {
       return no_memory();
     }
   }
   while (true) {
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
         deadline - steady::now());
-    if (left.count() <= 0) return Fail(error_code::kTimeout, "body too slow");
+    if (left.count() <= 0) return fail({error_code::kTimeout, "body too slow"});
     auto part = ReadSome(std::min(left, max_pause.value_or(left)), yield);
-    if (!part) return part;
+    if (!part) return fail(part.error());
     if (part->empty()) return body;
     const std::size_t bytes = body.size() + part->size();
     if (bytes > limit) {
