Bodies of the store get time by the bytes that arrive

A large configuration was never in force at a host whose share of a link did not carry it in 2.1 s: the read was given up at three timeouts, however many bytes had arrived, and the next one began anew. The host refused requests with a key from 5 s on and handled those without one by the old version.

The bound had no regard to the size, which grows with the fleet and the configuration. A body now gets a second more for each 64 KB that arrive, 10 s more at most; a pause of one timeout still ends the read, and so does a body that hardly arrives (BodyThatHardlyArrivesIsGivenUp, which passed before too). This holds for all reads of the platform's store, lists included.

LargeConfigurationIsReadOverANarrowLink failed before, given up after 250,035 of 800,000 bytes (903 ms at a timeout of 300 ms).

--- a/packages/edge/deployment_store.h
+++ b/packages/edge/deployment_store.h
@@ -23,9 +23,10 @@
 /// endpoint records, the placement lease, the list of hosts, the prompt parts
 /// that are quarantined and the software versions that began streams.
 ///
-/// Each call takes at most the store timeout. Errors: `kUnavailable` (nothing
-/// was done), `kOutcomeUnknown` (a write may take effect, now or later),
-/// `kConflict`, `kInvalidArgument` (the answer could not be parsed).
+/// The store timeout bounds each wait for the store; a large body may take
+/// longer while it arrives. Errors: `kUnavailable` (nothing was done),
+/// `kOutcomeUnknown` (a write may take effect, now or later), `kConflict`,
+/// `kInvalidArgument` (the answer could not be parsed).
 class deployment_store {
  public:
   virtual ~deployment_store() = default;
--- a/packages/gateway/endpoint_connection.cpp
+++ b/packages/gateway/endpoint_connection.cpp
@@ -273,9 +273,10 @@
 result<std::string> endpoint_connection::ReadBody(
     std::size_t limit, std::chrono::milliseconds timeout,
     asio::yield_context yield, byte_share* held,
-    std::optional<std::chrono::milliseconds> max_pause) {
+    std::optional<body_progress> progress) {
   using steady = std::chrono::steady_clock;
-  const auto deadline = steady::now() + timeout;
+  using std::chrono::milliseconds;
+  const auto started = steady::now();
   const auto no_memory = [this] {
     CutOff(excess::kMemory);
     return Fail(error_code::kTooLarge, "too many answers are held");
@@ -299,8 +300,14 @@
     }
   }
   while (!parser.is_done()) {
-    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
-        deadline - steady::now());
+    auto extension = milliseconds(0);
+    if (progress) {
+      extension =
+          std::min(milliseconds(1000 * body.size() / progress->bytes_per_s),
+                   progress->max_extension);
+    }
+    const auto left = std::chrono::duration_cast<milliseconds>(
+        started + timeout + extension - steady::now());
     if (left.count() <= 0) return fail({error_code::kTimeout, "body too slow"});
     const std::size_t before = body.size();
     if (!length && body.capacity() - before < kReadBytes &&
@@ -316,7 +323,7 @@
     body.resize(before + room);
     const auto taken =
         ReadInto(body.data() + before, room,
-                 std::min(left, max_pause.value_or(left)), yield);
+                 progress ? std::min(left, progress->max_pause) : left, yield);
     body.resize(before + taken.value_or(0));
     if (!taken) return fail(taken.error());
     if (body.size() > limit) {
--- a/packages/gateway/endpoint_connection.h
+++ b/packages/gateway/endpoint_connection.h
@@ -39,6 +39,15 @@
 
 const char* ToString(excess cause);
 
+/// How a body must keep arriving whose time limit depends on its size.
+struct body_progress {
+  /// Longest time from one part to the next.
+  std::chrono::milliseconds max_pause{0};
+  /// This many bytes extend the time limit by a second.
+  std::size_t bytes_per_s = 0;
+  std::chrono::milliseconds max_extension{0};
+};
+
 /// A connection to an endpoint that carries one request at a time.
 ///
 /// The owner decides whether to reuse it: an idle connection may be dead
@@ -74,13 +83,13 @@
   /// `kOutcomeUnknown` for a truncated body.
   result<std::string> ReadSome(std::chrono::milliseconds timeout,
                                boost::asio::yield_context yield);
-  /// Reads the rest of the body, within `timeout` for all of it and within
-  /// `max_pause`, if set, from one part to the next. Error `kTooLarge` above
-  /// `limit` bytes, or if `held` may not hold the body.
+  /// Reads the rest of the body within `timeout`, which `progress`, if set,
+  /// extends while bytes arrive. Error `kTooLarge` above `limit` bytes, or if
+  /// `held` may not hold the body.
   result<std::string> ReadBody(
       std::size_t limit, std::chrono::milliseconds timeout,
       boost::asio::yield_context yield, byte_share* held = nullptr,
-      std::optional<std::chrono::milliseconds> max_pause = std::nullopt);
+      std::optional<body_progress> progress = std::nullopt);
   /// Discards the parsed response and prepares for the next one, which the
   /// endpoint sends without another request.
   void ExpectNextResponse();
