Versions that are replaced while they are read are used

A host that was told of a newer version while it read one dropped what it had read, refused all requests with a key at once (keys_in_doubt) and went on without key by the version before. While changes followed each other faster than it read one, no version was ever in force.

Cause: a read below the newest version known was taken for a store that has lost versions, also if that version became known only after the read was sent. Then the confirmation of keys was withdrawn as well.

VersionsReadDuringFurtherChangesAreInForce and, new here, KeysStayConfirmedDuringFurtherChanges failed before: 404 after six versions; 503 after four. The tests of restored stores pass unchanged.

--- a/packages/edge/store_sync.cpp
+++ b/packages/edge/store_sync.cpp
@@ -48,40 +48,47 @@
 void store_sync::RunConfig(boost::asio::yield_context yield) {
   while (true) {
     const auto age = host_.freshness.Age();
-    const bool has_newest =
-        host_.config != nullptr && host_.config->version >= NewestConfig();
-    if (!IsStoreReader() && has_newest && age && *age < kMaxFollowedAge) {
+    if (!IsStoreReader() && HasNewestConfig() && age &&
+        *age < kMaxFollowedAge) {
       Pause(host_.io, kFollowStep, yield);
       continue;
     }
-    ReadConfig(yield);
-    Pause(host_.io, store_failures_ > 0 ? RetryInterval() : kConfigInterval,
-          yield);
+    Pause(host_.io, ReadConfig(yield), yield);
   }
 }
 
-void store_sync::ReadConfig(boost::asio::yield_context yield) {
+bool store_sync::HasNewestConfig() const {
+  return host_.config != nullptr && host_.config->version >= NewestConfig();
+}
+
+milliseconds store_sync::ReadConfig(boost::asio::yield_context yield) {
   const auto sent = host_.time.now();
-  const auto known_when_sent = NewestConfig();
+  auto known_when_sent = NewestConfig();
   auto read = host_.store.ReadConfig(yield);
   OnStoreRead("config", sent, read.has_value(),
               read ? std::string() : read.error().detail);
-  if (!read) return LogConfigNotRead(read.error().detail);
-  if (host_.config == nullptr) AwaitPeers(yield);
-  const auto newest = NewestConfig();
-  if ((*read)->version < newest) {
+  if (!read) {
+    LogConfigNotRead(read.error().detail);
+    return RetryInterval();
+  }
+  if (host_.config == nullptr) {
+    AwaitPeers(yield);
+    known_when_sent = NewestConfig();
+  }
+  if ((*read)->version < known_when_sent) {
     // The store has lost versions; one of them may have withdrawn a key.
     host_.log.Write("config_ignored",
                     {{"version", std::to_string((*read)->version)},
-                     {"newest", std::to_string(newest)}});
+                     {"newest", std::to_string(NewestConfig())}});
     // It may have lost them before earlier reads as well.
     if (host_.config != nullptr && host_.config->version < known_when_sent) {
       host_.freshness.Reset();
     }
-    return;
+    return kConfigInterval;
   }
   host_.freshness.Confirm(sent);
   if (*read != host_.config) ApplyConfig(std::move(*read));
+  return HasNewestConfig() ? kConfigInterval : kRetryInterval;
 }
 
 // A process that has just started cannot tell whether the store was restored
--- a/packages/edge/store_sync.h
+++ b/packages/edge/store_sync.h
@@ -53,7 +53,9 @@
  private:
   bool IsStoreReader() const;
   void SendSyncRequest();
-  void ReadConfig(boost::asio::yield_context yield);
+  bool HasNewestConfig() const;
+  // Returns the time until the next read.
+  milliseconds ReadConfig(boost::asio::yield_context yield);
   // Waits until other hosts had the time to report the newest version.
   void AwaitPeers(boost::asio::yield_context yield);
   void LogConfigNotRead(const std::string& why);
