A superseded configuration handles no requests past the bound on changes

A host that knew of a newer version and could not read it handled requests without a key by the old one without end; those with a key were refused after five seconds.

Only keys had a bound. A newer version was accepted after the last read that confirmed the one in force was sent, so the age of that read bounds how late a change is. From the bound on changes on (config_change_ms, by default that on keys), less the margin, a host that knows of a newer version refuses all requests (config_superseded) and directs callers elsewhere, until it has read it.

--- a/packages/edge/edge_settings.cpp
+++ b/packages/edge/edge_settings.cpp
@@ -127,6 +127,7 @@
       // A call takes milliseconds; two timeouts still fit into the bounds.
       Milliseconds("store", "timeout_ms", "700"),
       DecimalMilliseconds("bounds", "key_withdrawal_ms"),
+      OptionalMilliseconds("bounds", "config_change_ms"),
       DecimalSeconds("bounds", "stop_grace_s"),
       DecimalMilliseconds("bounds", "placement_pause_ms"),
       DecimalSeconds("bounds", "quota_window_s"),
@@ -180,6 +181,10 @@
   loaded.store_timeout = read->Milliseconds("store", "timeout_ms");
   loaded.key_withdrawal =
       ToWholeMilliseconds(read->Decimal("bounds", "key_withdrawal_ms"));
+  loaded.config_change =
+      read->IsSet("bounds", "config_change_ms")
+          ? ToWholeMilliseconds(read->Decimal("bounds", "config_change_ms"))
+          : loaded.key_withdrawal;
   loaded.stop_grace = ToWholeMilliseconds(
       read->Decimal("bounds", "stop_grace_s") * kMillisecondsPerSecond);
   // A lower limit, so it is rounded up.
--- a/packages/edge/edge_settings.h
+++ b/packages/edge/edge_settings.h
@@ -37,6 +37,8 @@
   milliseconds store_timeout{};
   /// Time within which a revoked key must be rejected.
   milliseconds key_withdrawal{};
+  /// Time within which any other change of the configuration must be in force.
+  milliseconds config_change{};
   /// Time from SIGTERM until the platform kills the process.
   milliseconds stop_grace{};
   /// Minimum time between the orders of two successive placement lease holders.
--- a/packages/edge/edge_state.h
+++ b/packages/edge/edge_state.h
@@ -19,13 +19,13 @@
 #include "edge/engine_records.h"
 #include "edge/request_dialect.h"
 #include "serving/brittle_services.h"
+#include "serving/config_freshness.h"
 #include "serving/demand_average.h"
 #include "serving/engine_fleet.h"
 #include "serving/engine_limits.h"
 #include "serving/engine_pace.h"
 #include "serving/engine_reach.h"
 #include "serving/host_directory.h"
-#include "serving/key_freshness.h"
 #include "serving/part_quarantine.h"
 #include "serving/placement_lease.h"
 #include "serving/request_quarantine.h"
@@ -73,7 +73,7 @@
         brittle(source),
         quota(source, seed),
         retries(source, settings.retries),
-        freshness(source, settings.key_withdrawal),
+        freshness(source, {settings.key_withdrawal, settings.config_change}),
         directory(source, settings.id, settings.zone, settings.callers_listen,
                   settings.capacity),
         demand(source, kDemandWindow),
@@ -90,7 +90,8 @@
   /// configuration known to be current, and is not stopping.
   bool Serving() const {
     return config != nullptr && !leaving && freshness.AllowsKeys() &&
-           evacuations.known() && !fleet.engines().empty();
+           freshness.AllowsRequests() && evacuations.known() &&
+           !fleet.engines().empty();
   }
 
   boost::asio::io_context& io;
@@ -153,7 +154,7 @@
   serving::brittle_services brittle;
   serving::shared_quota quota;
   serving::service_retry_budget retries;
-  serving::key_freshness freshness;
+  serving::config_freshness freshness;
   serving::host_directory directory;
   serving::demand_average demand;
   serving::placement_lease placement_lease;
--- a/packages/edge/request_admit.cpp
+++ b/packages/edge/request_admit.cpp
@@ -29,6 +29,9 @@
   AwaitConfig();
   if (config_ == nullptr)
     return Refuse(503, "no_configuration", kMinRetryDelay);
+  if (!host_.freshness.AllowsRequests()) {
+    return Refuse(503, "config_superseded", kRetryNow);
+  }
   if (!caller_.readable) return Refuse(400, "name_unreadable", std::nullopt);
   route_ = config_->FindRoute(caller_.host, received_.path);
   if (route_ == nullptr) return Refuse(404, "no_route", std::nullopt);
--- a/packages/edge/store_sync.cpp
+++ b/packages/edge/store_sync.cpp
@@ -104,6 +104,7 @@
 void store_sync::OnPeerConfig(std::uint64_t version) {
   const bool is_news = version > NewestConfig();
   newest_version_ = std::max(newest_version_, version);
+  host_.freshness.SetSuperseded(!HasNewestConfig());
   if (!is_news || host_.config == nullptr) return;
   host_.log.Write("config_superseded",
                   {{"version", std::to_string(host_.config->version)},
@@ -406,6 +407,7 @@
 void store_sync::ApplyConfig(
     std::shared_ptr<const serving::serving_config> read) {
   host_.config = std::move(read);
+  host_.freshness.SetSuperseded(!HasNewestConfig());
   OnColdRecords(host_);
   for (const auto& account : host_.config->accounts) {
     host_.quota.SetLimit(account.id,
--- a/packages/edge/tests/edge_settings_test.cpp
+++ b/packages/edge/tests/edge_settings_test.cpp
@@ -86,6 +86,17 @@
   EXPECT_DOUBLE_EQ(loaded->retries.slack, 56);
 }
 
+// Guards against a host that a template without this bound keeps from starting,
+// or from refusing requests at all.
+TEST(edge_settings_test, BoundOfChangesIsThatOfKeysByDefault) {
+  const auto bounds = Bounds("5000", "8", "3000", "10", "0.2", "56");
+  EXPECT_EQ(LoadWithBounds(bounds)->config_change, milliseconds(5000));
+  EXPECT_EQ(LoadWithBounds(bounds + "config_change_ms =\n")->config_change,
+            milliseconds(5000));
+  EXPECT_EQ(LoadWithBounds(bounds + "config_change_ms = 3000\n")->config_change,
+            milliseconds(3000));
+}
+
 // Guards against a start that fails in a deployment without evacuations, for
 // which the template yields an empty value.
 TEST(edge_settings_test, EvacuationBoundMayBeEmptyOrAbsent) {
