Own store client: large responses in large parts, time by what arrives

Responses are read 64 KB at once; a call gets a second more for each 64 KB that arrive, 10 s more at most.

--- a/packages/base/byte_budget.h
+++ b/packages/base/byte_budget.h
@@ -10,6 +10,12 @@
 /// a chunk with its extensions, or a trailer.
 inline constexpr std::size_t kMaxUnparsedBytes = 68 * 1024;
 
+/// Bytes of a large body that are read at once. Other work of the event loop
+/// comes between two reads, and a buffer of the default size takes 512 bytes:
+/// 860 KB took over a minute at a host with rounds of 47 ms.
+inline constexpr std::size_t kLargeReadBytes = 64 * 1024;
+static_assert(kLargeReadBytes <= kMaxUnparsedBytes);
+
 /// Bytes that a process may hold at once for all requests and answers.
 class byte_budget {
  public:
--- a/packages/gateway/endpoint_connection.cpp
+++ b/packages/gateway/endpoint_connection.cpp
@@ -25,11 +25,6 @@
 
 constexpr unsigned kHttp11 = 11;
 constexpr std::size_t kReadBytes = 4 * 1024;
-// Bytes of a large body that are read at once. Other work of the event loop
-// comes between two reads, and a buffer of the default size takes 512 bytes:
-// 860 KB took over a minute at a host with rounds of 47 ms.
-constexpr std::size_t kLargeReadBytes = 64 * 1024;
-static_assert(kLargeReadBytes <= kMaxUnparsedBytes);
 constexpr std::uint32_t kMaxHeadBytes = 64 * 1024;
 
 bool IsExcess(const io_error& ec) {
--- a/packages/store/http_object_store.cpp
+++ b/packages/store/http_object_store.cpp
@@ -33,6 +33,12 @@
 
 // Limit of a response body; a list of all configuration rows stays below it.
 constexpr std::uint64_t kMaxResponseBytes = 64'000'000;
+// A response that keeps arriving gets a second more for each of these bytes: a
+// new call would begin anew and end like the first. Far below what a link of a
+// host carries.
+constexpr std::size_t kMinBytesPerSecond = 64 * 1024;
+// A response without end is given up after it.
+constexpr std::chrono::milliseconds kMaxExtension{10000};
 // Kept-alive connections for reads.
 constexpr std::size_t kMaxIdleConnections = 4;
 
@@ -254,17 +260,24 @@
   void Connect();
   void SendRequest();
   void ReadResponse();
+  void ReadPart();
+  // `bytes` of the response have arrived.
+  void ExtendLimits(std::size_t bytes);
   void OnResponse();
   void OnConnectFailure(const error_code& failure);
   void OnExchangeFailure(const std::string& detail);
   void Finish(call_outcome outcome);
-  // Sets the time limit of the next I/O step, capped at the call's deadline.
+  // Sets the time limit of the next I/O steps, capped at the call's deadline.
   void LimitStep(std::chrono::milliseconds limit);
 
   std::weak_ptr<http_object_store::client> client_;
   call_request request_;
   std::function<void(call_outcome)> done_;
   steady::time_point deadline_;
+  // Deadline of the present I/O steps.
+  steady::time_point step_deadline_;
+  // By which both have been extended.
+  std::chrono::microseconds extension_{0};
   std::unique_ptr<beast::tcp_stream> stream_;
   http::request<http::string_body> http_request_;
   beast::flat_buffer buffer_{kMaxUnparsedBytes};
@@ -297,7 +310,8 @@
 }
 
 void call::LimitStep(std::chrono::milliseconds limit) {
-  stream_->expires_at(std::min(deadline_, steady::now() + limit));
+  step_deadline_ = std::min(deadline_, steady::now() + limit);
+  stream_->expires_at(step_deadline_);
 }
 
 // Connects to the next endpoint. Each one gets an equal share of the call
@@ -320,6 +334,7 @@
         client->preferred_endpoint = self->endpoint_index_;
         error_code ignored;
         self->stream_->socket().set_option(tcp::no_delay(true), ignored);
+        self->step_deadline_ = self->deadline_;
         self->stream_->expires_at(self->deadline_);
         self->SendRequest();
       });
@@ -351,12 +366,35 @@
 void call::ReadResponse() {
   parser_.emplace();
   parser_->body_limit(kMaxResponseBytes);
-  http::async_read(
-      *stream_, buffer_, *parser_,
-      [self = shared_from_this()](const error_code& failure, std::size_t) {
-        if (failure) return self->OnExchangeFailure(failure.message());
-        self->OnResponse();
-      });
+  parser_->eager(true);
+  buffer_.reserve(kLargeReadBytes);
+  ReadPart();
+}
+
+void call::ReadPart() {
+  http::async_read_some(*stream_, buffer_, *parser_,
+                        [self = shared_from_this()](const error_code& failure,
+                                                    std::size_t bytes) {
+                          if (failure)
+                            return self->OnExchangeFailure(failure.message());
+                          if (self->parser_->is_done())
+                            return self->OnResponse();
+                          self->ExtendLimits(bytes);
+                          self->ReadPart();
+                        });
+}
+
+void call::ExtendLimits(std::size_t bytes) {
+  using std::chrono::microseconds;
+  const auto before = extension_;
+  extension_ = std::min<microseconds>(
+      before + microseconds(std::int64_t{1'000'000} *
+                            static_cast<std::int64_t>(bytes) /
+                            static_cast<std::int64_t>(kMinBytesPerSecond)),
+      kMaxExtension);
+  deadline_ += extension_ - before;
+  step_deadline_ += extension_ - before;
+  stream_->expires_at(step_deadline_);
 }
 
 // A reused connection may be closed or unresponsive, so a read is retried on a
--- a/packages/store/http_object_store.h
+++ b/packages/store/http_object_store.h
@@ -15,7 +15,8 @@
   /// Addresses of the platform, `IPv4:port`. A call starts with the one that
   /// worked last and tries the next ones while nothing was sent.
   std::vector<std::string> addresses;
-  /// Time limit of a call other than a watch.
+  /// Time limit of a call other than a watch; more while a large response
+  /// arrives.
   std::chrono::milliseconds call_limit{2000};
   /// Added to the wait of a watch for its time limit.
   std::chrono::milliseconds watch_margin{2000};
--- a/packages/store/tests/http_object_store_test.cpp
+++ b/packages/store/tests/http_object_store_test.cpp
@@ -4,8 +4,10 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -61,6 +63,15 @@
     });
   }
 
+  result<object_list> List() {
+    return Await<result<object_list>>(
+        [&](auto done) { store_->List("", std::move(done)); });
+  }
+  static std::string LargeList() {
+    return R"({"revision":1,"items":[{"name":"a","version":1,"value":")" +
+           std::string(1'000'000, 'x') + "\"}]}";
+  }
+
   boost::asio::io_context context_;
   standins::answer_fault fault_ = standins::answer_fault::kNone;
   int status_ = 200;
@@ -173,6 +184,60 @@
   EXPECT_EQ(got->name, "a");
 }
 
+// Guards against lists that a busy process reads too slowly, because other work
+// of the event loop comes between many small reads.
+TEST_F(http_store_test, LargeListIsReadByABusyProcess) {
+  MakeStore({});
+  body_ = LargeList();
+  int rounds = 0;
+  bool done = false;
+  std::function<void()> work = [&] {
+    if (done) return;
+    ++rounds;
+    boost::asio::post(context_, work);
+  };
+  boost::asio::post(context_, work);
+  const auto listed = List();
+  done = true;
+  context_.poll();  // `work` ends before what it refers to
+  EXPECT_TRUE(listed) << listed.error().detail;
+  // Some for each 64 KB; one for each 512 bytes would be 2,000.
+  EXPECT_LT(rounds, 200);
+}
+
+// Guards against lists that are never read over a narrow link: each call ends
+// at a limit that leaves out their size.
+TEST_F(http_store_test, LargeListIsReadOverANarrowLink) {
+  using boost::asio::ip::tcp;
+  tcp::acceptor acceptor(
+      context_, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+  const auto body = LargeList();
+  std::string left =
+      "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+      "\r\n\r\n" + body;
+  constexpr std::size_t kPart = 100'000;
+  std::optional<tcp::socket> peer;
+  boost::asio::steady_timer later(context_);
+  std::function<void()> send = [&] {
+    boost::asio::write(*peer, boost::asio::buffer(left.substr(0, kPart)));
+    left.erase(0, kPart);
+    if (left.empty()) return;
+    later.expires_after(milliseconds(100));
+    later.async_wait([&](auto) { send(); });
+  };
+  acceptor.async_accept([&](const auto&, tcp::socket socket) {
+    peer = std::move(socket);
+    send();
+  });
+  http_store_options options;
+  options.addresses = {"127.0.0.1:" +
+                       std::to_string(acceptor.local_endpoint().port())};
+  options.call_limit = milliseconds(400);
+  MakeStore(options);
+  const auto listed = List();
+  EXPECT_TRUE(listed) << listed.error().detail;
+}
+
 // Guards against a connection that is used again after a status that does not
 // exist, and against a write that counts as not done by it.
 TEST_F(http_store_test, StatusThatDoesNotExistIsNoAnswer) {
