--- a/packages/gateway/http_server.cpp
+++ b/packages/gateway/http_server.cpp
@@ -352,6 +352,11 @@
     }
     read_deadline deadline(stream_.socket(), state_->limits.body_timeout);
     parser.eager(true);
+    const auto length = parser.content_length_remaining();
+    if (length && *length > kReadBytes) {
+      buffer_.reserve(std::min(buffer_.max_size(), kLargeReadBytes));
+      if (!Hold(0)) return NoMemory();
+    }
     while (!ec && !parser.is_done()) {
       http::async_read_some(stream_, buffer_, parser, yield[ec]);
       if (!ec && !Hold(BodyBytes(parser))) return NoMemory();
--- a/packages/gateway/tests/http_server_test.cpp
+++ b/packages/gateway/tests/http_server_test.cpp
@@ -6,9 +6,11 @@
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
+#include <functional>
 #include <stdexcept>
 #include <string>
 #include <thread>
@@ -71,6 +73,42 @@
   io.run_for(milliseconds(200));
 }
 
+// Guards against large requests that a busy process reads too slowly, because
+// other work of the event loop comes between many small reads.
+TEST(http_server, LargeBodyIsReadByABusyProcess) {
+  asio::io_context io;
+  std::size_t received = 0;
+  auto server = http_server::Listen(
+      io, "127.0.0.1:0", {},
+      [&](const auto& request, auto& sink, auto yield) {
+        received = request.body.size();
+        AnswerOk(request, sink, yield);
+      },
+      AnswerProblem);
+  ASSERT_TRUE(server);
+  constexpr std::size_t kBytes = 1'000'000;
+  const std::string request = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                              std::to_string(kBytes) + "\r\n\r\n" +
+                              std::string(kBytes, 'x');
+  asio::ip::tcp::socket caller(io);
+  caller.connect({asio::ip::address_v4::loopback(), (*server)->port()});
+  asio::async_write(caller, asio::buffer(request), [](auto, auto) {});
+  int rounds = 0;
+  std::function<void()> work = [&] {
+    if (received > 0 || ++rounds == 10'000) return;
+    asio::post(io, work);
+  };
+  asio::post(io, work);
+  io.run_for(milliseconds(500));
+  EXPECT_EQ(received, kBytes);
+  // One for each 512 bytes would be 2,000.
+  EXPECT_LT(rounds, 400);
+  caller.close();
+  server->reset();
+  io.restart();
+  io.run_for(milliseconds(200));
+}
+
 // Guards against an exception in one request that ends the process.
 TEST(http_server, ExceptionEndsItsRequestOnly) {
   asio::io_context io;
