Body length of a request: read without a warning of the sanitized build

g++ 12 takes content_length_remaining() for uninitialized in the sanitized build (-Wmaybe-uninitialized in Beast's own optional); content_length() says the same here.

--- a/packages/gateway/http_server.cpp
+++ b/packages/gateway/http_server.cpp
@@ -352,8 +352,7 @@
     }
     read_deadline deadline(stream_.socket(), state_->limits.body_timeout);
     parser.eager(true);
-    const auto length = parser.content_length_remaining();
-    if (length && *length > kReadBytes) {
+    if (parser.content_length().value_or(0) > kReadBytes) {
       buffer_.reserve(std::min(buffer_.max_size(), kLargeReadBytes));
       if (!Hold(0)) return NoMemory();
     }
