--- a/review/standins-3/small_site.py
+++ b/review/standins-3/small_site.py
@@ -308,12 +308,17 @@
             lambda r, w: self.site.store.serve(self.name, r, w),
             "127.0.0.1", 0)
         store = server.sockets[0].getsockname()[1]
-        for engine in self.site.engines:
-            link = self.links[engine.name] = Link(lambda e=engine: e.port)
-            await link.open()
-        self.site.store.links[self.name] = {
-            name: f"127.0.0.1:{link.port}"
-            for name, link in self.links.items()}
+        if self.site.has_links:
+            for engine in self.site.engines:
+                link = self.links[engine.name] = Link(lambda e=engine: e.port)
+                await link.open()
+            self.site.store.links[self.name] = {
+                name: f"127.0.0.1:{link.port}"
+                for name, link in self.links.items()}
+        else:
+            self.site.store.links[self.name] = {
+                engine.name: f"127.0.0.1:{engine.port}"
+                for engine in self.site.engines}
         bounds = "".join(f"{k} = {v}\n" for k, v in BOUNDS.items())
         self.settings = os.path.join(self.site.folder, f"{self.name}.ini")
         with open(self.settings, "w") as file:
@@ -353,9 +358,11 @@
 
 
 class Site:
-    """Everything of one run. `config` is the operator's configuration."""
+    """Everything of one run. `config` is the operator's configuration. Without
+    links, hosts reach the engines directly."""
 
-    def __init__(self, record_path, config):
+    def __init__(self, record_path, config, has_links=True):
+        self.has_links = has_links
         self.record = Record(record_path)
         self.folder = tempfile.mkdtemp(prefix="small-site-")
         self.store = Store()
