--- a/review/standins-3/small_site.py
+++ b/review/standins-3/small_site.py
@@ -7,12 +7,15 @@
 its own links.
 """
 import asyncio
+import atexit
 import json
 import os
 import random
 import shutil
+import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import urllib.parse
@@ -31,6 +34,21 @@
           "header_timeout_ms": 3000, "idle_timeout_ms": 10000}
 
 
+# Every host process that was started.
+LAUNCHED = []
+
+
+def end_launched():
+    for process in LAUNCHED:
+        if process.poll() is None:
+            process.kill()
+
+
+# Also if the script is ended before its time.
+atexit.register(end_launched)
+signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+
+
 def free_ports(count):
     """Ports of 127.0.0.1 that nothing uses now, outside the range from which
     the system takes the ports of outgoing connections."""
@@ -343,6 +361,7 @@
                 stdin=subprocess.DEVNULL, stdout=output, stderr=output,
                 cwd=ROOT,
                 env={**os.environ, "BLUEBELL_MEMORY_MB": str(MEMORY_MB)})
+        LAUNCHED.append(self.process)
         self.site.record.write(f"{self.name} starts")
 
     async def is_ready(self):
